--- /dev/null
+++ b/spokeadmit/queue.go
@@ -0,0 +1,280 @@
+package spokeadmit
+
+import (
+	"context"
+	"sync"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+)
+
+// Kind is the kind of an error of this package.
+type Kind string
+
+const (
+	// KindFull says that the wait would be too long.
+	KindFull Kind = "overloaded"
+	// KindLapsed says that the request waited as long as it may.
+	KindLapsed Kind = "wait_lapsed"
+	// KindCancelled says that the caller went away.
+	KindCancelled Kind = "cancelled"
+)
+
+const (
+	gapMemory    = 0.95
+	pollInterval = 10 * spokeclock.Millis(1)
+)
+
+// Room is how many requests a service can take now.
+type Room struct {
+	// All is the number of free slots.
+	All int
+	// Long is the number of them that long answers may take.
+	Long int
+}
+
+// Ticket is one request's wish to be admitted.
+type Ticket struct {
+	// Workspace names who asks.
+	Workspace string
+	// Weight is the workspace's part in a fair share. It must be positive.
+	Weight int
+	// Long says that a long answer is expected.
+	Long bool
+	// MaxWait is the longest wait.
+	MaxWait spokeclock.Millis
+}
+
+// Queue admits the requests of one service. Set its fields before the first
+// call. It is safe for concurrent use.
+type Queue struct {
+	// RoomFunc returns the room that backend servers have besides what this
+	// queue has admitted. It is called with the queue locked.
+	RoomFunc func() Room
+	// Clock tells the time. Nil means the real one.
+	Clock *spokeclock.Clock
+
+	mutex    sync.Mutex
+	waiting  []*waiter
+	admitted map[string]int
+	inUse    int
+	longUse  int
+	gap      float64
+	lastEnd  spokeclock.Millis
+	polling  bool
+}
+
+type waiter struct {
+	ticket Ticket
+	ready  chan struct{}
+}
+
+// Admission is an admitted request's place. Release it exactly once.
+type Admission struct {
+	queue  *Queue
+	ticket Ticket
+}
+
+// Admit waits for a place. It returns an error of kind KindFull at once when
+// the wait would be longer than allowed, KindLapsed when it was, or
+// KindCancelled.
+func (q *Queue) Admit(ctx context.Context, ticket Ticket) (*Admission, error) {
+	w, err := q.enter(ticket)
+	if err != nil {
+		return nil, err
+	}
+	lapse, cancel := context.WithTimeout(ctx, ticket.MaxWait.Duration())
+	defer cancel()
+	select {
+	case <-w.ready:
+		return &Admission{queue: q, ticket: ticket}, nil
+	case <-lapse.Done():
+	}
+	if !q.leave(w) {
+		return &Admission{queue: q, ticket: ticket}, nil
+	}
+	if ctx.Err() != nil {
+		return nil, spokeerror.New("admit", KindCancelled, ctx.Err())
+	}
+	return nil, spokeerror.Newf("admit", KindLapsed, "no place within %d ms", ticket.MaxWait)
+}
+
+func (q *Queue) enter(ticket Ticket) (*waiter, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.admitted == nil {
+		q.admitted = make(map[string]int)
+	}
+	w := &waiter{ticket: ticket, ready: make(chan struct{})}
+	q.waiting = append(q.waiting, w)
+	q.dispatch()
+	if admittedNow(w) {
+		return w, nil
+	}
+	if q.expectedWait(ticket) > ticket.MaxWait {
+		q.remove(w)
+		return nil, spokeerror.Newf("admit", KindFull, "the expected wait is over %d ms", ticket.MaxWait)
+	}
+	q.poll()
+	return w, nil
+}
+
+func admittedNow(w *waiter) bool {
+	select {
+	case <-w.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// leave removes a waiter and reports whether it was still waiting.
+func (q *Queue) leave(w *waiter) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.remove(w)
+}
+
+func (q *Queue) remove(w *waiter) bool {
+	for i, other := range q.waiting {
+		if other == w {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// dispatch admits waiting requests while there is room.
+func (q *Queue) dispatch() {
+	for {
+		next := q.next()
+		if next < 0 {
+			return
+		}
+		w := q.waiting[next]
+		q.waiting = append(q.waiting[:next], q.waiting[next+1:]...)
+		q.admitted[w.ticket.Workspace]++
+		q.inUse++
+		if w.ticket.Long {
+			q.longUse++
+		}
+		close(w.ready)
+	}
+}
+
+// next returns the waiting request to admit, or -1. Quick requests go before
+// long ones, then the workspace with the least use for its weight, then the
+// first to come.
+func (q *Queue) next() int {
+	if len(q.waiting) == 0 {
+		return -1
+	}
+	room := q.RoomFunc()
+	if room.All-q.inUse <= 0 {
+		return -1
+	}
+	best := -1
+	for i, w := range q.waiting {
+		if w.ticket.Long && room.Long-q.longUse <= 0 {
+			continue
+		}
+		if best < 0 || q.before(w.ticket, q.waiting[best].ticket) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (q *Queue) before(a, b Ticket) bool {
+	if a.Long != b.Long {
+		return !a.Long
+	}
+	return q.admitted[a.Workspace]*b.Weight < q.admitted[b.Workspace]*a.Weight
+}
+
+// Release gives the place back.
+func (a *Admission) Release() {
+	q := a.queue
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.admitted[a.ticket.Workspace]--
+	if q.admitted[a.ticket.Workspace] == 0 {
+		delete(q.admitted, a.ticket.Workspace)
+	}
+	q.inUse--
+	if a.ticket.Long {
+		q.longUse--
+	}
+	q.count()
+	q.dispatch()
+}
+
+// count keeps the mean time between two places that come free.
+func (q *Queue) count() {
+	now := q.Clock.Now()
+	gap := float64(now - q.lastEnd)
+	if q.lastEnd == 0 {
+		gap = 0
+	}
+	q.lastEnd = now
+	q.gap = gapMemory*q.gap + (1-gapMemory)*gap
+}
+
+// ahead returns how many waiting requests go before a new one.
+func (q *Queue) ahead(ticket Ticket) int {
+	count := 0
+	for _, w := range q.waiting {
+		if !w.ticket.Long || ticket.Long {
+			count++
+		}
+	}
+	return count
+}
+
+func (q *Queue) expectedWait(ticket Ticket) spokeclock.Millis {
+	return spokeclock.Millis(float64(q.ahead(ticket)) * q.gap)
+}
+
+// ExpectedWait returns how long a new request would wait, at least one second,
+// as a time to come back after.
+func (q *Queue) ExpectedWait(ticket Ticket) spokeclock.Millis {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return max(spokeclock.Second, q.expectedWait(ticket))
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.waiting)
+}
+
+// InUse returns the number of admitted requests.
+func (q *Queue) InUse() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.inUse
+}
+
+// poll looks for room that others made, while requests wait.
+func (q *Queue) poll() {
+	if q.polling {
+		return
+	}
+	q.polling = true
+	go func() {
+		for q.pollOnce() {
+			_ = spokeclock.Sleep(context.Background(), pollInterval)
+		}
+	}()
+}
+
+func (q *Queue) pollOnce() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.dispatch()
+	q.polling = len(q.waiting) > 0
+	return q.polling
+}
--- /dev/null
+++ b/spokebackend/registry.go
@@ -0,0 +1,235 @@
+package spokebackend
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeengine"
+)
+
+// forgetAfter is how long a server that left the list is remembered, so that
+// an older list does not bring it back.
+const forgetAfter = 10 * 60 * spokeclock.Second
+
+// defaultSlots stands in until a server has reported.
+const defaultSlots = 8
+
+// Registry holds the backend servers. Set its fields before the first call.
+// It is safe for concurrent use.
+type Registry struct {
+	// DataCentre is where this process runs.
+	DataCentre string
+	// Clock tells the time. Nil means the real one.
+	Clock *spokeclock.Clock
+
+	mutex   sync.Mutex
+	servers map[string]*server
+	left    map[string]spokeclock.Millis
+	cancels map[string]map[*Work]func(Departure)
+}
+
+// Learn takes in the platform's list. Servers that are no longer listed are
+// dropped once nothing is under way on them.
+func (r *Registry) Learn(instances []spokecloud.Instance) {
+	r.mutex.Lock()
+	leaving := r.learn(instances)
+	r.mutex.Unlock()
+	for _, name := range leaving {
+		r.Leave(name, Departure{Source: SourceList})
+	}
+}
+
+func (r *Registry) learn(instances []spokecloud.Instance) []string {
+	r.fill()
+	var leaving []string
+	listed := make(map[string]struct{}, len(instances))
+	for _, instance := range instances {
+		if instance.Role != spokecloud.RoleBackend {
+			continue
+		}
+		listed[instance.Name] = struct{}{}
+		s := r.admit(instance)
+		if s != nil && instance.State == spokecloud.StateLeaving {
+			leaving = append(leaving, instance.Name)
+		}
+	}
+	r.drop(listed)
+	return leaving
+}
+
+func (r *Registry) fill() {
+	if r.servers != nil {
+		return
+	}
+	r.servers = make(map[string]*server)
+	r.left = make(map[string]spokeclock.Millis)
+	r.cancels = make(map[string]map[*Work]func(Departure))
+}
+
+// admit adds or updates a listed server, unless it is known to have left.
+func (r *Registry) admit(instance spokecloud.Instance) *server {
+	if _, gone := r.left[instance.Name]; gone {
+		return nil
+	}
+	s, known := r.servers[instance.Name]
+	if !known {
+		s = &server{peers: make(map[string]Use), trust: 1}
+		r.servers[instance.Name] = s
+	}
+	s.instance = instance
+	return s
+}
+
+// drop forgets servers that are no longer listed.
+func (r *Registry) drop(listed map[string]struct{}) {
+	now := r.Clock.Now()
+	for name, s := range r.servers {
+		if _, still := listed[name]; still || s.own > 0 {
+			continue
+		}
+		if s.leaving != "" {
+			r.left[name] = now
+		}
+		delete(r.servers, name)
+	}
+	for name, at := range r.left {
+		_, still := listed[name]
+		if !still && now-at > forgetAfter {
+			delete(r.left, name)
+		}
+	}
+}
+
+// Leave marks a server as leaving. The mark of any source but an operator
+// stays until the server is gone, and takes the place of an operator's. Work
+// under way is told.
+func (r *Registry) Leave(name string, departure Departure) {
+	for _, cancel := range r.leave(name, departure) {
+		cancel(departure)
+	}
+}
+
+func (r *Registry) leave(name string, departure Departure) []func(Departure) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, known := r.servers[name]
+	if !known || s.leaving == departure.Source {
+		return nil
+	}
+	if s.leaving != "" && !s.leaving.byOperator() {
+		return nil
+	}
+	s.leaving = departure.Source
+	left := departure.Left
+	if left == 0 {
+		left = unknownLeft
+	}
+	s.goneBy = r.Clock.Now() + left
+	told := make([]func(Departure), 0, len(r.cancels[name]))
+	for _, cancel := range r.cancels[name] {
+		told = append(told, cancel)
+	}
+	return told
+}
+
+// Unmark takes an operator's mark back. Marks of other sources stay.
+func (r *Registry) Unmark(name string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if s, known := r.servers[name]; known && s.leaving.byOperator() {
+		s.leaving = ""
+	}
+}
+
+// Leaving returns the departures to tell peers of, by server: those that did
+// not come from an operator, whom every instance hears itself.
+func (r *Registry) Leaving() map[string]spokeclock.Millis {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	departures := make(map[string]spokeclock.Millis)
+	for name, s := range r.servers {
+		if s.leaving != "" && !s.leaving.byOperator() {
+			departures[name] = max(1, s.goneBy-now)
+		}
+	}
+	return departures
+}
+
+// Marked returns the names of servers that an operator has marked.
+func (r *Registry) Marked() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var names []string
+	for name, s := range r.servers {
+		if s.leaving.byOperator() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// TakeReport takes in a server's report of itself.
+func (r *Registry) TakeReport(name string, load spokeengine.Load) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if s, known := r.servers[name]; known {
+		s.load = load
+		s.loadAt = r.Clock.Now() - load.Age
+	}
+}
+
+// TakePeerUse replaces what a peer has under way at the given servers.
+func (r *Registry) TakePeerUse(peer string, uses map[string]Use) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for name, use := range uses {
+		s, known := r.servers[name]
+		switch {
+		case !known:
+		case use.All == 0:
+			delete(s.peers, peer)
+		default:
+			s.peers[peer] = use
+		}
+	}
+}
+
+// ForgetPeer drops what a peer had under way.
+func (r *Registry) ForgetPeer(peer string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, s := range r.servers {
+		delete(s.peers, peer)
+	}
+}
+
+// OwnUse returns what this process has under way at each server.
+func (r *Registry) OwnUse() map[string]Use {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	uses := make(map[string]Use)
+	for name, s := range r.servers {
+		if s.own > 0 {
+			uses[name] = Use{All: s.own, Long: s.ownLong}
+		}
+	}
+	return uses
+}
+
+// Names returns the servers of this data centre, in order.
+func (r *Registry) Names() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var names []string
+	for name, s := range r.servers {
+		if s.instance.DataCentre == r.DataCentre {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, strings.Compare)
+	return names
+}
--- /dev/null
+++ b/spokebackend/server.go
@@ -0,0 +1,136 @@
+package spokebackend
+
+import (
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeengine"
+)
+
+// Source is where knowledge of a leaving server came from.
+type Source string
+
+const (
+	// SourceList is the platform's lagging list.
+	SourceList Source = "list"
+	// SourceNotice is a reclaim notice.
+	SourceNotice Source = "notice"
+	// SourcePeer is another entry instance.
+	SourcePeer Source = "peer"
+	// SourceDrain is an operator's mark that lets work under way end.
+	SourceDrain Source = "drain"
+	// SourceStop is an operator's mark that moves work under way.
+	SourceStop Source = "stop"
+)
+
+// unknownLeft stands for a departure whose time is not known.
+const unknownLeft = 2 * spokeclock.Second
+
+// Departure tells that a server is leaving.
+type Departure struct {
+	// Source is where the knowledge came from.
+	Source Source
+	// Left is the time until the server is gone. Zero means unknown.
+	Left spokeclock.Millis
+}
+
+// byOperator reports whether an operator may take the departure back.
+func (s Source) byOperator() bool {
+	return s == SourceDrain || s == SourceStop
+}
+
+const (
+	evidenceWeight  = 0.3
+	slowHalfLife    = 2 * spokeclock.Second
+	suspensionStart = 500 * spokeclock.Millis(1)
+	suspensionLimit = 8 * spokeclock.Second
+	trustAfterSlow  = 0.1
+	trustStep       = 2.0
+	trustInterval   = spokeclock.Second
+	slowThreshold   = 2.5
+)
+
+// server is the state of one backend server.
+type server struct {
+	instance spokecloud.Instance
+	leaving  Source
+	goneBy   spokeclock.Millis
+	own      int
+	ownLong  int
+	peers    map[string]Use
+	load     spokeengine.Load
+	loadAt   spokeclock.Millis
+	gap      float64
+	gapAt    spokeclock.Millis
+	failures int
+	idleTill spokeclock.Millis
+	trust    float64
+	trustAt  spokeclock.Millis
+}
+
+// Use is how many requests one entry instance has under way at a server.
+type Use struct {
+	// All counts requests.
+	All int `json:"all"`
+	// Long counts those of them with long answers.
+	Long int `json:"long"`
+}
+
+func (s *server) use() Use {
+	sum := Use{All: s.own, Long: s.ownLong}
+	for _, use := range s.peers {
+		sum.All += use.All
+		sum.Long += use.Long
+	}
+	return sum
+}
+
+// fail notes a failure and leaves the server alone for a span that doubles.
+func (s *server) fail(now spokeclock.Millis) {
+	span := suspensionStart << min(s.failures, suspensionDoublings)
+	s.failures++
+	s.idleTill = now + min(span, suspensionLimit)
+}
+
+const suspensionDoublings = 4
+
+func (s *server) succeed() {
+	s.failures = 0
+	s.idleTill = 0
+}
+
+// observeGap takes in the time between two tokens.
+func (s *server) observeGap(gap, now spokeclock.Millis) {
+	if s.gapAt == 0 {
+		s.gap = float64(gap)
+	} else {
+		s.gap = (1-evidenceWeight)*s.gap + evidenceWeight*float64(gap)
+	}
+	s.gapAt = now
+}
+
+// slowness compares the server's time between tokens to the median of its
+// service. Old evidence fades, so that a server gets a chance to recover.
+func (s *server) slowness(median float64, now spokeclock.Millis) float64 {
+	if s.gapAt == 0 || median <= 0 {
+		return 1
+	}
+	ratio := s.gap / median
+	for age := now - s.gapAt; age >= slowHalfLife && ratio > 1; age -= slowHalfLife {
+		ratio /= 2
+	}
+	return max(1, ratio)
+}
+
+// retrust lowers the part of traffic of a slow server at once and gives it
+// back in steps.
+func (s *server) retrust(slowness float64, now spokeclock.Millis) {
+	if slowness >= slowThreshold {
+		s.trust = trustAfterSlow
+		s.trustAt = now
+		return
+	}
+	for s.trust < 1 && now-s.trustAt >= trustInterval {
+		s.trust = min(1, s.trust*trustStep)
+		s.trustAt += trustInterval
+	}
+}
--- /dev/null
+++ b/spokebackend/view.go
@@ -0,0 +1,156 @@
+package spokebackend
+
+import (
+	"slices"
+	"strings"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeroute"
+)
+
+// Overcommit is how many requests a server is given for each slot, so that its
+// batch stays full.
+const Overcommit = 1.25
+
+// Capacity is what a service's servers can take.
+type Capacity struct {
+	slots     int
+	longSlots int
+	peers     Use
+	live      int
+}
+
+// Slots returns the requests that live servers run at once, overcommitted.
+func (c Capacity) Slots() int { return c.slots }
+
+// LongSlots returns those of them that long answers may take.
+func (c Capacity) LongSlots() int { return c.longSlots }
+
+// Peers returns what peers have under way.
+func (c Capacity) Peers() Use { return c.peers }
+
+// Live returns the number of servers that may get new work.
+func (c Capacity) Live() int { return c.live }
+
+// Candidates returns what is known of a service's servers. Cached names the
+// server that probably holds the request's prefix.
+func (r *Registry) Candidates(service, cached string) []spokeroute.Candidate {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	median := r.medianGap(service)
+	var candidates []spokeroute.Candidate
+	for name, s := range r.servers {
+		if s.instance.Service != service {
+			continue
+		}
+		candidate := r.candidate(s, median, now)
+		candidate.Cached = name == cached
+		candidates = append(candidates, candidate)
+	}
+	slices.SortFunc(candidates, func(a, b spokeroute.Candidate) int { return strings.Compare(a.Name, b.Name) })
+	return candidates
+}
+
+func (r *Registry) candidate(s *server, median float64, now spokeclock.Millis) spokeroute.Candidate {
+	use := s.use()
+	slowness := s.slowness(median, now)
+	s.retrust(slowness, now)
+	return spokeroute.Candidate{
+		Name:      s.instance.Name,
+		Local:     s.instance.DataCentre == r.DataCentre,
+		Leaving:   s.leaving != "",
+		Suspended: now < s.idleTill,
+		Slots:     s.slots(),
+		InFlight:  use.All,
+		Long:      use.Long,
+		Reported:  s.load.Running + s.load.Waiting,
+		ReportAge: now - s.loadAt,
+		Slowness:  slowness,
+		Trust:     s.trust,
+	}
+}
+
+func (s *server) slots() int {
+	if s.load.Slots == 0 {
+		return defaultSlots
+	}
+	return s.load.Slots
+}
+
+// medianGap returns the median time between tokens of a service's servers.
+func (r *Registry) medianGap(service string) float64 {
+	var gaps []float64
+	for _, s := range r.servers {
+		if s.instance.Service == service && s.gapAt > 0 {
+			gaps = append(gaps, s.gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[(len(gaps)-1)/2]
+}
+
+// Capacity returns what a service's live servers can take.
+func (r *Registry) Capacity(service string) Capacity {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	var c Capacity
+	for _, s := range r.servers {
+		if s.instance.Service != service || s.leaving != "" || now < s.idleTill {
+			continue
+		}
+		c.live++
+		c.slots += int(float64(s.slots()) * Overcommit)
+		c.longSlots += spokeroute.LongLimit(s.slots())
+		use := s.use()
+		c.peers.All += use.All - s.own
+		c.peers.Long += use.Long - s.ownLong
+	}
+	return c
+}
+
+// Line is one server as an operator sees it.
+type Line struct {
+	instance  spokecloud.Instance
+	leaving   Source
+	candidate spokeroute.Candidate
+}
+
+// Instance returns the server's line of the list.
+func (l Line) Instance() spokecloud.Instance { return l.instance }
+
+// Leaving returns who said that the server is leaving, or "".
+func (l Line) Leaving() Source { return l.leaving }
+
+// Candidate returns what choices see of the server.
+func (l Line) Candidate() spokeroute.Candidate { return l.candidate }
+
+// Lines returns all servers, ordered by name.
+func (r *Registry) Lines() []Line {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	lines := make([]Line, 0, len(r.servers))
+	for _, s := range r.servers {
+		median := r.medianGap(s.instance.Service)
+		lines = append(lines, Line{instance: s.instance, leaving: s.leaving, candidate: r.candidate(s, median, now)})
+	}
+	slices.SortFunc(lines, func(a, b Line) int { return strings.Compare(a.instance.Name, b.instance.Name) })
+	return lines
+}
+
+// Lookup returns a server's line of the list.
+func (r *Registry) Lookup(name string) (spokecloud.Instance, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, known := r.servers[name]
+	if !known {
+		return spokecloud.Instance{}, false
+	}
+	return s.instance, true
+}
--- /dev/null
+++ b/spokebackend/work.go
@@ -0,0 +1,99 @@
+package spokebackend
+
+import (
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+)
+
+// Work is one attempt under way at a server. It is used by one goroutine.
+type Work struct {
+	registry *Registry
+	instance spokecloud.Instance
+	long     bool
+	lastAt   spokeclock.Millis
+	ended    bool
+}
+
+// Begin counts an attempt at a server. Leaving is called, from another
+// goroutine, when the server turns out to be leaving. It reports false when
+// the server is not known or is leaving already.
+func (r *Registry) Begin(name string, long bool, leaving func(Departure)) (*Work, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, known := r.servers[name]
+	if !known || s.leaving != "" {
+		return nil, false
+	}
+	s.own++
+	if long {
+		s.ownLong++
+	}
+	w := &Work{registry: r, instance: s.instance, long: long, lastAt: r.Clock.Now()}
+	if r.cancels[name] == nil {
+		r.cancels[name] = make(map[*Work]func(Departure))
+	}
+	r.cancels[name][w] = leaving
+	return w, true
+}
+
+// Instance returns the server's line of the list.
+func (w *Work) Instance() spokecloud.Instance { return w.instance }
+
+// Token notes that a token came.
+func (w *Work) Token(first bool) {
+	r := w.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	s, known := r.servers[w.instance.Name]
+	if known && !first {
+		s.observeGap(now-w.lastAt, now)
+	}
+	w.lastAt = now
+}
+
+// Stalled notes that no token came for a while.
+func (w *Work) Stalled() {
+	r := w.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	if s, known := r.servers[w.instance.Name]; known {
+		s.observeGap(now-w.lastAt, now)
+	}
+}
+
+// Succeed ends the attempt with a whole answer.
+func (w *Work) Succeed() {
+	w.end(func(s *server) { s.succeed() })
+}
+
+// Fail ends the attempt with a failure of the server.
+func (w *Work) Fail() {
+	w.end(func(s *server) { s.fail(w.registry.Clock.Now()) })
+}
+
+// Leave ends the attempt without a verdict on the server.
+func (w *Work) Leave() {
+	w.end(func(*server) {})
+}
+
+func (w *Work) end(verdict func(*server)) {
+	r := w.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
+	delete(r.cancels[w.instance.Name], w)
+	s, known := r.servers[w.instance.Name]
+	if !known {
+		return
+	}
+	s.own--
+	if w.long {
+		s.ownLong--
+	}
+	verdict(s)
+}
--- /dev/null
+++ b/spokeclaim/claims.go
@@ -0,0 +1,291 @@
+package spokeclaim
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokeobject"
+	"mulberryspoke.example/mulberryspoke/spokeplain"
+	"mulberryspoke.example/mulberryspoke/spoketable"
+)
+
+const (
+	inlineBytes    = 16 << 10
+	settlePause    = 200 * spokeclock.Millis(1)
+	settlePauseMax = 5 * spokeclock.Second
+	settleRing     = 1024
+	finishPatience = 400 * spokeclock.Millis(1)
+)
+
+// Claims makes, moves and ends claims. Set its fields before Run. It is safe
+// for concurrent use.
+type Claims struct {
+	// Table keeps the rows.
+	Table *spoketable.Table
+	// Objects keeps outcomes too large for a row.
+	Objects *spokeobject.Store
+	// Owner names this entry instance.
+	Owner string
+	// Gather is how long changes are gathered into a transaction. Zero means
+	// four milliseconds.
+	Gather spokeclock.Millis
+	// CountFunc, if set, is told of each transaction's rows.
+	CountFunc func(rows int)
+	// Log takes the log lines.
+	Log zerolog.Logger
+
+	once    sync.Once
+	writer  *writer
+	mutex   sync.Mutex
+	active  map[string]State
+	pending sync.WaitGroup
+}
+
+// Claim is a claim held by an attempt of this process, or what stands in its
+// way.
+type Claim struct {
+	claims  *Claims
+	row     string
+	version spoketable.Version
+	base    spoketable.Version
+	record  Record
+}
+
+// Record returns the claim's row as last seen.
+func (c *Claim) Record() Record { return c.record }
+
+// Run writes claims until ctx ends. It waits for what is still to be settled.
+func (c *Claims) Run(ctx context.Context) {
+	c.fill()
+	var writers sync.WaitGroup
+	for range writersCount {
+		writers.Go(func() { c.writer.run(ctx) })
+	}
+	writers.Wait()
+}
+
+func (c *Claims) fill() {
+	c.once.Do(func() {
+		if c.CountFunc == nil {
+			c.CountFunc = func(int) {}
+		}
+		c.writer = newWriter(c.Table, c.Gather, c.CountFunc)
+		c.active = make(map[string]State)
+	})
+}
+
+// Outcome is the result of an attempt to claim.
+type Outcome struct {
+	own   *Claim
+	other *Claim
+}
+
+// Own returns the claim made, or nil.
+func (o Outcome) Own() *Claim { return o.own }
+
+// Other returns the claim that stands in the way, or nil.
+func (o Outcome) Other() *Claim { return o.other }
+
+// Make claims a row for an attempt that will go to a server. It returns an
+// error of kind KindMismatch when the row belongs to another request, and of
+// kind KindUnavailable or KindBusy when nothing is claimed; the attempt must
+// then not be sent.
+func (c *Claims) Make(ctx context.Context, row string, record Record) (Outcome, error) {
+	return c.makeOver(ctx, row, 0, record)
+}
+
+// Replace claims a row in place of a claim that is certain not to run.
+func (c *Claims) Replace(ctx context.Context, old *Claim, record Record) (Outcome, error) {
+	return c.makeOver(ctx, old.row, old.version, record)
+}
+
+func (c *Claims) makeOver(ctx context.Context, row string, version spoketable.Version, record Record) (Outcome, error) {
+	c.fill()
+	record.State = StateClaimed
+	record.Owner = c.Owner
+	record.Wall = spokeclock.Wall()
+	claim := &Claim{claims: c, row: row, base: version, record: record}
+	c.setActive(record.Attempt, StateClaimed)
+	r := c.writer.put(ctx, spoketable.Condition{Key: row, Version: version}, spoketable.Encode(row, record))
+	if r.committed {
+		claim.version = r.version
+		return Outcome{own: claim}, nil
+	}
+	if r.err == nil {
+		c.setActive(record.Attempt, "")
+		return c.inTheWay(ctx, row, r.current, record)
+	}
+	return c.afterFailure(ctx, claim, version, r.err)
+}
+
+// inTheWay reads the claim that holds the row. A released one is replaced.
+func (c *Claims) inTheWay(ctx context.Context, row string, current spoketable.Row, record Record) (Outcome, error) {
+	if current.Version == 0 {
+		return c.makeOver(ctx, row, 0, record)
+	}
+	held, err := spoketable.Decode[Record](current)
+	if err != nil {
+		return Outcome{}, spokeerror.New("make claim", KindUnavailable, err)
+	}
+	if held.Request != record.Request {
+		return Outcome{}, spokeerror.Newf("make claim", KindMismatch, "the key belongs to another request")
+	}
+	if held.State == StateReleased {
+		return c.makeOver(ctx, row, current.Version, record)
+	}
+	return Outcome{other: &Claim{claims: c, row: row, version: current.Version, record: held}}, nil
+}
+
+// afterFailure resolves a claim whose write brought no answer. The attempt is
+// sent only if reading back shows its claim; otherwise it never will be, and
+// the row is released in the background.
+func (c *Claims) afterFailure(ctx context.Context, claim *Claim, version spoketable.Version, cause error) (Outcome, error) {
+	if spokeerror.KindOf[spoketable.Kind](cause) != spoketable.KindUnknown {
+		c.setActive(claim.record.Attempt, "")
+		return Outcome{}, spokeerror.New("make claim", KindUnavailable, cause)
+	}
+	rows, err := c.Table.Read(ctx, claim.row)
+	if err == nil && rows[0].Version > version {
+		held, decodeErr := spoketable.Decode[Record](rows[0])
+		if decodeErr == nil && held.Attempt == claim.record.Attempt && held.State == StateClaimed {
+			claim.version = rows[0].Version
+			return Outcome{own: claim}, nil
+		}
+	}
+	c.setActive(claim.record.Attempt, StateReleased)
+	c.settleLater(claim)
+	return Outcome{}, spokeerror.New("make claim", KindUnavailable, cause)
+}
+
+// Move points a claim at another server under another attempt, once the first
+// is certain not to have been sent. It returns an error of kind KindLost or
+// KindUnavailable; the claim must then be released.
+func (c *Claim) Move(ctx context.Context, attempt, server string) error {
+	next := c.record
+	next.Attempt = attempt
+	next.Server = server
+	c.claims.setActive(attempt, StateClaimed)
+	r := c.claims.writer.put(ctx, spoketable.Condition{Key: c.row, Version: c.version}, spoketable.Encode(c.row, next))
+	if !r.committed {
+		c.claims.setActive(attempt, StateReleased)
+		return spokeerror.New("move claim", KindLost, r.err)
+	}
+	c.claims.setActive(c.record.Attempt, "")
+	c.record = next
+	c.version = r.version
+	return nil
+}
+
+// Finish records the outcome. It waits a while for the record, and goes on
+// trying in the background after that.
+func (c *Claim) Finish(ctx context.Context, answer spokeplain.Answer) {
+	finished := make(chan struct{})
+	c.claims.background(func(ctx context.Context) {
+		defer close(finished)
+		c.claims.persist(ctx, func(ctx context.Context) bool { return c.finishOnce(ctx, answer) })
+	})
+	wait, cancel := context.WithTimeout(ctx, finishPatience.Duration())
+	defer cancel()
+	select {
+	case <-finished:
+	case <-wait.Done():
+	}
+}
+
+func (c *Claim) finishOnce(ctx context.Context, answer spokeplain.Answer) bool {
+	next := c.record
+	next.State = StateDone
+	next.Answer = answer
+	if len(answer.Body) > inlineBytes {
+		next.Object = "outcome-" + c.record.Attempt
+		if c.claims.Objects.Put(ctx, next.Object, answer.Body) != nil {
+			return false
+		}
+		next.Answer.Body = nil
+	}
+	r := c.claims.writer.put(ctx, spoketable.Condition{Key: c.row, Version: c.version}, spoketable.Encode(c.row, next))
+	if r.err != nil {
+		return c.recorded(ctx)
+	}
+	c.claims.setActive(c.record.Attempt, "")
+	return true
+}
+
+// recorded reports whether an earlier try to record took effect.
+func (c *Claim) recorded(ctx context.Context) bool {
+	rows, err := c.claims.Table.Read(ctx, c.row)
+	if err != nil || rows[0].Version == c.version {
+		return false
+	}
+	c.claims.setActive(c.record.Attempt, "")
+	return true
+}
+
+// Answer returns the recorded outcome of a claim that is done. It returns an
+// error of kind KindUnavailable.
+func (c *Claim) Answer(ctx context.Context) (spokeplain.Answer, error) {
+	answer := c.record.Answer
+	if c.record.Object == "" {
+		return answer, nil
+	}
+	body, err := c.claims.Objects.Get(ctx, c.record.Object)
+	if err != nil {
+		return spokeplain.Answer{}, spokeerror.New("read outcome", KindUnavailable, err)
+	}
+	answer.Body = body
+	return answer, nil
+}
+
+// Release gives up a claim whose attempt has certainly not been sent. The row
+// is released in the background.
+func (c *Claim) Release() {
+	c.claims.setActive(c.record.Attempt, StateReleased)
+	c.claims.settleLater(c)
+}
+
+// Abandon leaves a claim standing whose attempt may have run.
+func (c *Claim) Abandon() {
+	c.claims.setActive(c.record.Attempt, "")
+}
+
+// StateOf tells a peer what this process knows of an attempt: StateClaimed
+// while it is under way, StateReleased when it will never be sent, or "" when
+// nothing is known.
+func (c *Claims) StateOf(attempt string) State {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.active[attempt]
+}
+
+func (c *Claims) setActive(attempt string, state State) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if state == "" {
+		delete(c.active, attempt)
+		return
+	}
+	c.active[attempt] = state
+}
+
+// Reload reads the claim's row again. It returns an error of kind
+// KindUnavailable.
+func (c *Claim) Reload(ctx context.Context) error {
+	rows, err := c.claims.Table.Read(ctx, c.row)
+	if err != nil {
+		return spokeerror.New("read claim", KindUnavailable, err)
+	}
+	if rows[0].Version == 0 {
+		return spokeerror.Newf("read claim", KindUnavailable, "the row is gone")
+	}
+	record, err := spoketable.Decode[Record](rows[0])
+	if err != nil {
+		return spokeerror.New("read claim", KindUnavailable, err)
+	}
+	c.version = rows[0].Version
+	c.record = record
+	return nil
+}
--- /dev/null
+++ b/spokecloud/doc.go
@@ -0,0 +1,3 @@
+// Package spokecloud speaks to the platform's cloud API and to its lagging
+// list of instances.
+package spokecloud
--- /dev/null
+++ b/spokecloud/message.go
@@ -0,0 +1,83 @@
+package spokecloud
+
+import "mulberryspoke.example/mulberryspoke/spokeclock"
+
+// Role is what an instance is for.
+type Role string
+
+const (
+	// RoleEntry is an entry instance of this system.
+	RoleEntry Role = "entry"
+	// RoleBackend is a backend server.
+	RoleBackend Role = "backend"
+)
+
+// State is what the platform last saw of an instance.
+type State string
+
+const (
+	// StateLive is an instance that runs.
+	StateLive State = "live"
+	// StateLeaving is an instance that is going away.
+	StateLeaving State = "leaving"
+)
+
+// Instance is a line of the list.
+type Instance struct {
+	// Name names the instance; no other ever has the same name.
+	Name string `json:"name"`
+	// Role is what it is for.
+	Role Role `json:"role"`
+	// Service names the service that a backend server serves.
+	Service string `json:"service,omitempty"`
+	// DataCentre is where it runs.
+	DataCentre string `json:"data_centre"`
+	// Address is its IP number and port.
+	Address string `json:"address"`
+	// State is what the platform last saw.
+	State State `json:"state"`
+	// MachineClass is its class.
+	MachineClass string `json:"machine_class,omitempty"`
+	// Reclaimable says that the platform may take it back.
+	Reclaimable bool `json:"reclaimable,omitempty"`
+}
+
+// Instances is the whole list.
+type Instances struct {
+	// Instances are the lines.
+	Instances []Instance `json:"instances"`
+}
+
+// Notice announces that an instance will be taken back.
+type Notice struct {
+	// Instance names the instance.
+	Instance string `json:"instance"`
+	// Left is the time left until it is gone.
+	Left spokeclock.Millis `json:"left_millis"`
+}
+
+// Notices are all that are in force.
+type Notices struct {
+	// Notices are the announcements.
+	Notices []Notice `json:"notices"`
+}
+
+// StartRequest asks for an instance.
+type StartRequest struct {
+	// Token makes a repeat of the request start nothing more.
+	Token string `json:"token"`
+	// DataCentre is where it shall run.
+	DataCentre string `json:"data_centre"`
+	// MachineClass is the class.
+	MachineClass string `json:"machine_class"`
+	// Service is what it shall serve.
+	Service string `json:"service"`
+	// Reclaimable asks for the cheaper kind.
+	Reclaimable bool `json:"reclaimable"`
+}
+
+// StopRequest gives an instance back.
+type StopRequest struct {
+	// Instance names the instance.
+	Instance string `json:"instance"`
+}
--- /dev/null
+++ b/spokeconfig/declaration.go
@@ -0,0 +1,138 @@
+package spokeconfig
+
+import "mulberryspoke.example/mulberryspoke/spokeclock"
+
+// Declaration is what operators keep in version control.
+type Declaration struct {
+	// Version is the version of the format. Only 1 is known.
+	Version int `json:"version" yaml:"version"`
+	// DataCentres are the places where the deployment runs.
+	DataCentres []DataCentre `json:"data_centres" yaml:"data_centres"`
+	// Services are what callers may ask for.
+	Services []Service `json:"services" yaml:"services"`
+	// Workspaces are who may call.
+	Workspaces []Workspace `json:"workspaces" yaml:"workspaces"`
+	// Prices are the costs of instances.
+	Prices []Price `json:"prices,omitempty" yaml:"prices"`
+}
+
+// DataCentre is one place where instances run.
+type DataCentre struct {
+	// Name names the data centre.
+	Name string `json:"name" yaml:"name"`
+	// Region names the region it is in.
+	Region string `json:"region" yaml:"region"`
+}
+
+// ServiceKind tells how a service is spoken to.
+type ServiceKind string
+
+const (
+	// ServiceModel is served by model engines.
+	ServiceModel ServiceKind = "model"
+	// ServicePlain is served by plain HTTP services.
+	ServicePlain ServiceKind = "plain"
+)
+
+// Routing names a policy that chooses a backend server.
+type Routing string
+
+const (
+	// RoutingScore weighs load, speed, cached prefixes and long answers.
+	RoutingScore Routing = "score"
+	// RoutingRoundRobin takes each backend server in turn.
+	RoutingRoundRobin Routing = "round_robin"
+	// RoutingLeastReported takes the least reported load.
+	RoutingLeastReported Routing = "least_reported"
+	// RoutingTwoChoices takes the less loaded of two at random.
+	RoutingTwoChoices Routing = "two_choices"
+)
+
+// Service is one service.
+type Service struct {
+	// Name names the service; a model's callers give it as their model.
+	Name string `json:"name" yaml:"name"`
+	// Kind tells how the service is spoken to.
+	Kind ServiceKind `json:"kind" yaml:"kind"`
+	// FirstTokenTarget is the latency target of the first token.
+	FirstTokenTarget spokeclock.Millis `json:"first_token_target_millis,omitempty" yaml:"first_token_target_millis"`
+	// TokenGapTarget is the latency target between two tokens.
+	TokenGapTarget spokeclock.Millis `json:"token_gap_target_millis,omitempty" yaml:"token_gap_target_millis"`
+	// Timeout bounds a whole request. Zero means two minutes.
+	Timeout spokeclock.Millis `json:"timeout_millis,omitempty" yaml:"timeout_millis"`
+	// LongAnswerTokens is the answer length from which a request counts as
+	// long. Zero means 256.
+	LongAnswerTokens int `json:"long_answer_tokens,omitempty" yaml:"long_answer_tokens"`
+	// Routing chooses the policy. Empty means score.
+	Routing Routing `json:"routing,omitempty" yaml:"routing"`
+	// ReportsOutcomes says that its backend servers can be asked whether an
+	// attempt ran, and refuse the attempt from then on.
+	ReportsOutcomes bool `json:"reports_outcomes,omitempty" yaml:"reports_outcomes"`
+	// ChecksOrders says that its engines refuse an old fencing number.
+	ChecksOrders bool `json:"checks_orders,omitempty" yaml:"checks_orders"`
+	// Routes mark which requests of a plain service are not idempotent.
+	Routes []Route `json:"routes,omitempty" yaml:"routes"`
+}
+
+// Route marks the requests of one method below one path.
+type Route struct {
+	// Method is the HTTP method.
+	Method string `json:"method" yaml:"method"`
+	// Path is the beginning of the path within the service.
+	Path string `json:"path" yaml:"path"`
+	// Idempotent says that a request may run more than once.
+	Idempotent bool `json:"idempotent" yaml:"idempotent"`
+}
+
+// Workspace is one customer's part of the deployment.
+type Workspace struct {
+	// Name names the workspace.
+	Name string `json:"name" yaml:"name"`
+	// KeySHA256 is the hexadecimal SHA-256 of the workspace's key.
+	KeySHA256 string `json:"key_sha256" yaml:"key_sha256"`
+	// Priority orders workspaces under load, 1 (lowest) to 9. Zero means 5.
+	Priority int `json:"priority,omitempty" yaml:"priority"`
+	// Share is the weight in a fair share of a full service. Zero means 1.
+	Share int `json:"share,omitempty" yaml:"share"`
+	// RequestRate limits requests for each second. Zero means no limit.
+	RequestRate float64 `json:"requests_per_second,omitempty" yaml:"requests_per_second"`
+	// TokenRate limits answer tokens for each second. Zero means no limit.
+	TokenRate float64 `json:"tokens_per_second,omitempty" yaml:"tokens_per_second"`
+	// Concurrency limits requests at one time. Zero means no limit.
+	Concurrency int `json:"concurrent_requests,omitempty" yaml:"concurrent_requests"`
+	// OpaqueKeys accepts idempotency keys that carry no time. Their records
+	// are never pruned.
+	OpaqueKeys bool `json:"opaque_keys,omitempty" yaml:"opaque_keys"`
+}
+
+// Price is what one machine class costs in one data centre.
+type Price struct {
+	// DataCentre names the data centre.
+	DataCentre string `json:"data_centre" yaml:"data_centre"`
+	// MachineClass names the class.
+	MachineClass string `json:"machine_class" yaml:"machine_class"`
+	// Reclaimable is the price of an hour on a reclaimable instance.
+	Reclaimable float64 `json:"reclaimable_per_hour" yaml:"reclaimable_per_hour"`
+	// OnDemand is the price of an hour on an on-demand instance.
+	OnDemand float64 `json:"on_demand_per_hour" yaml:"on_demand_per_hour"`
+}
+
+// MarkKind is what an operator wants of one instance.
+type MarkKind string
+
+const (
+	// MarkDrain gives the instance no new work.
+	MarkDrain MarkKind = "drain"
+	// MarkStop gives it no new work and moves away what can be moved.
+	MarkStop MarkKind = "stop"
+	// MarkNone takes an earlier mark back.
+	MarkNone MarkKind = "none"
+)
+
+// Mark is an operator's wish for one instance.
+type Mark struct {
+	// Instance names the instance.
+	Instance string `json:"instance"`
+	// Kind is what is wanted.
+	Kind MarkKind `json:"kind"`
+}
--- /dev/null
+++ b/spokeentry/entry.go
@@ -0,0 +1,305 @@
+package spokeentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclaim"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokelease"
+	"mulberryspoke.example/mulberryspoke/spokelog"
+	"mulberryspoke.example/mulberryspoke/spokemember"
+	"mulberryspoke.example/mulberryspoke/spokeobject"
+	"mulberryspoke.example/mulberryspoke/spokeoperate"
+	"mulberryspoke.example/mulberryspoke/spokepeer"
+	"mulberryspoke.example/mulberryspoke/spokeserve"
+	"mulberryspoke.example/mulberryspoke/spoketable"
+	"mulberryspoke.example/mulberryspoke/spokewatch"
+)
+
+const (
+	drainPoll     = 20 * spokeclock.Millis(1)
+	pruneInterval = 60 * spokeclock.Second
+	closeTimeout  = 2 * spokeclock.Second
+	settleTimeout = 5 * spokeclock.Second
+)
+
+// Entry is one entry instance. Set its fields before Run.
+type Entry struct {
+	// Settings are the checked settings.
+	Settings Settings
+	// Logs is the source of the parts' loggers.
+	Logs spokelog.Root
+
+	log      zerolog.Logger
+	metrics  *metrics.Set
+	store    *spokeconfig.Store
+	keeper   *spokeconfig.Keeper
+	view     *spokemember.View
+	registry *spokebackend.Registry
+	claims   *spokeclaim.Claims
+	node     *spokepeer.Node
+	watch    *spokewatch.Watch
+	server   *spokeserve.Server
+	commands *spokeoperate.Commands
+	queries  *spokeoperate.Queries
+	prune    *spokelease.Lease
+	callers  *http.Server
+	ops      *http.Server
+	unready  atomic.Bool
+	killed   chan struct{}
+	killOnce sync.Once
+	makeOnce sync.Once
+	ready    chan struct{}
+}
+
+// Run serves until ctx ends and then shuts down in order: unready, no new
+// requests, requests under way, records, leases, peers. It returns an error of
+// kind KindListen when an address is taken, and of kind KindCut when requests
+// were left unanswered.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	listeners, err := e.listen(ctx)
+	if err != nil {
+		return err
+	}
+	e.build(listeners.peers)
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	var running sync.WaitGroup
+	e.startDuties(duties, &running)
+	running.Go(func() { e.serve(e.callers, listeners.callers) })
+	running.Go(func() { e.serve(e.ops, listeners.operators) })
+	e.log.Info().Str("callers", e.Settings.CallerAddress).Msg("Entry instance serves.")
+	close(e.ready)
+	select {
+	case <-ctx.Done():
+		err = e.shutDown()
+	case <-e.killed:
+	}
+	stopDuties()
+	e.closeServers()
+	running.Wait()
+	return err
+}
+
+// Started returns a channel that closes once the entry instance serves.
+func (e *Entry) Started() <-chan struct{} {
+	e.init()
+	return e.ready
+}
+
+// Kill ends the entry instance at once, as a crash would, but for what its
+// goroutines are in the middle of. It is safe for concurrent use.
+func (e *Entry) Kill() {
+	e.init()
+	e.killOnce.Do(func() { close(e.killed) })
+}
+
+func (e *Entry) init() {
+	e.makeOnce.Do(func() {
+		e.killed = make(chan struct{})
+		e.ready = make(chan struct{})
+	})
+}
+
+// listeners are the open sockets of an entry instance.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+}
+
+func (e *Entry) listen(ctx context.Context) (listeners, error) {
+	var open listeners
+	var config net.ListenConfig
+	for _, wish := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{e.Settings.CallerAddress, &open.callers},
+		{e.Settings.OperatorAddress, &open.operators},
+		{e.Settings.PeerAddress, &open.peers},
+	} {
+		listener, err := config.Listen(ctx, "tcp", wish.address)
+		if err != nil {
+			return open, spokeerror.New("start entry instance", KindListen, err)
+		}
+		*wish.listener = listener
+	}
+	return open, nil
+}
+
+// build makes the parts and joins them.
+func (e *Entry) build(peers net.Listener) {
+	e.log = e.Logs.Part("entry")
+	e.metrics = metrics.NewSet()
+	client := spokehttp.NewClient()
+	table := &spoketable.Table{URL: e.Settings.TableURL, Client: client}
+	objects := &spokeobject.Store{URL: e.Settings.ObjectURL, Client: client}
+	e.store = &spokeconfig.Store{}
+	e.keeper = &spokeconfig.Keeper{Table: table, Store: e.store}
+	e.view = &spokemember.View{Self: e.identity()}
+	e.registry = &spokebackend.Registry{DataCentre: e.Settings.DataCentre}
+	e.claims = &spokeclaim.Claims{Table: table, Objects: objects, Owner: e.Settings.Name, CountFunc: e.countRows(), Log: e.Logs.Part("claim")}
+	e.node = &spokepeer.Node{
+		View: e.view, Store: e.store, Registry: e.registry, AttemptFunc: e.claims.StateOf,
+		Listener: peers, Log: e.Logs.Part("peer"),
+	}
+	e.watch = &spokewatch.Watch{
+		Cloud:  &spokecloud.Cloud{URL: e.Settings.CloudURL, ListURL: e.Settings.ListURL, Client: client},
+		Keeper: e.keeper, View: e.view, Registry: e.registry, Client: client,
+		ChangedFunc: e.node.Wake, Log: e.Logs.Part("watch"),
+	}
+	e.prune = &spokelease.Lease{Table: table, Name: "prune", Holder: e.Settings.Name, Log: e.Logs.Part("lease")}
+	e.buildServers(client)
+	e.seed()
+	e.publish()
+}
+
+func (e *Entry) buildServers(client *http.Client) {
+	e.server = &spokeserve.Server{
+		Store: e.store, Registry: e.registry, View: e.view, Claims: e.claims,
+		AttemptStateFunc: e.node.AttemptState,
+		Client:           client, SingleClient: spokehttp.NewSingleClient(),
+		MaxBody: e.Settings.MaxBody, Counters: spokeserve.NewCounters(e.metrics),
+		Log: e.Logs.Part("serve"), Switches: e.switches(),
+	}
+	gate := spokeoperate.Gate{KeySHA256: e.Settings.OperatorKey}
+	e.commands = &spokeoperate.Commands{Gate: gate, Keeper: e.keeper, View: e.view, ChangedFunc: e.node.Wake}
+	e.queries = &spokeoperate.Queries{Gate: gate, Store: e.store, View: e.view, Registry: e.registry, Server: e.server}
+	e.callers = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: closeTimeout.Duration()}
+	e.ops = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: closeTimeout.Duration()}
+}
+
+func (e *Entry) identity() spokemember.Identity {
+	address := e.Settings.PeerAdvertise
+	if address == "" {
+		address = e.Settings.PeerAddress
+	}
+	return spokemember.Identity{
+		Name:       e.Settings.Name,
+		DataCentre: e.Settings.DataCentre,
+		Address:    address,
+		Generation: int64(spokeclock.Wall()),
+	}
+}
+
+func (e *Entry) switches() spokeserve.Switches {
+	off := func(name string) bool { return slices.Contains(e.Settings.SwitchOff, name) }
+	return spokeserve.Switches{
+		NoResume: off("resume"), NoClaims: off("claims"), NoMove: off("move"),
+		NoCacheMove: off("cache_move"), NoPriority: off("priority"),
+	}
+}
+
+func (e *Entry) seed() {
+	for _, text := range e.Settings.Peers {
+		identity, err := parsePeer(text)
+		if err == nil {
+			e.view.Seed(identity)
+		}
+	}
+}
+
+func (e *Entry) startDuties(ctx context.Context, running *sync.WaitGroup) {
+	running.Go(func() { e.claims.Run(ctx) })
+	running.Go(func() { e.node.Run(ctx) })
+	running.Go(func() { e.watch.Run(ctx) })
+	running.Go(func() { e.prune.Run(ctx) })
+	running.Go(func() { spokeclock.Every(ctx, pruneInterval, func() { e.pruneOnce(ctx) }) })
+}
+
+// pruneOnce deletes old claims while this instance holds that duty.
+func (e *Entry) pruneOnce(ctx context.Context) {
+	current := e.store.Current()
+	if _, held := e.prune.Held(); !held || current == nil {
+		return
+	}
+	for _, workspace := range current.Declaration().Workspaces {
+		if _, err := e.claims.Prune(ctx, workspace.Name, spokeclock.Wall()); err != nil {
+			e.log.Warn().Err(err).Msg("Old claims could not be pruned.")
+			return
+		}
+	}
+}
+
+func (e *Entry) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		e.log.Error().Err(err).Msg("Listener failed.")
+	}
+}
+
+// shutDown ends the service in order, within the grace period.
+func (e *Entry) shutDown() error {
+	e.log.Info().Int64("active", e.server.Active()).Msg("Shutdown begins.")
+	e.unready.Store(true)
+	e.node.Drain()
+	e.pause(e.Settings.Unready)
+	e.server.Drain()
+	left := e.awaitIdle()
+	settle, cancel := context.WithTimeout(context.Background(), settleTimeout.Duration())
+	defer cancel()
+	if err := e.claims.Settled(settle); err != nil {
+		e.log.Warn().Msg("Claims were left unsettled.")
+	}
+	if left > 0 {
+		e.log.Warn().Int64("left", left).Msg("Requests were cut off.")
+		return spokeerror.Newf("shut down", KindCut, "%d requests", left)
+	}
+	e.log.Info().Msg("Shutdown cut off nothing.")
+	return nil
+}
+
+// pause waits, unless the instance is killed meanwhile.
+func (e *Entry) pause(span spokeclock.Millis) {
+	ctx, cancel := context.WithTimeout(context.Background(), span.Duration())
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-e.killed:
+	}
+}
+
+// awaitIdle waits for requests under way and returns how many are left.
+func (e *Entry) awaitIdle() int64 {
+	var clock spokeclock.Clock
+	until := clock.Now() + e.Settings.Grace
+	for e.server.Active() > 0 && clock.Now() < until {
+		select {
+		case <-e.killed:
+			return e.server.Active()
+		default:
+			e.pause(drainPoll)
+		}
+	}
+	return e.server.Active()
+}
+
+func (e *Entry) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout.Duration())
+	defer cancel()
+	select {
+	case <-e.killed:
+		_ = e.callers.Close()
+		_ = e.ops.Close()
+	default:
+		_ = e.callers.Shutdown(ctx)
+		_ = e.ops.Shutdown(ctx)
+		_ = e.callers.Close()
+		_ = e.ops.Close()
+	}
+}
--- /dev/null
+++ b/spokepeer/message.go
@@ -0,0 +1,60 @@
+package spokepeer
+
+import (
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclaim"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokemember"
+)
+
+const (
+	methodHello        = "hello"
+	methodHeartbeat    = "heartbeat"
+	methodGoodbye      = "goodbye"
+	methodConfigSince  = "config_since"
+	methodAttemptState = "attempt_state"
+)
+
+// Hello opens a link.
+type Hello struct {
+	// Identity is who opens it, or who answers.
+	Identity spokemember.Identity `json:"identity"`
+	// Revision is the configuration in force there.
+	Revision spokeconfig.Revision `json:"revision"`
+	// Places are the data centres known there.
+	Places []spokemember.Place `json:"places,omitempty"`
+}
+
+// Heartbeat tells a peer's state. What has not changed since the last one on
+// the same link is left out.
+type Heartbeat struct {
+	// Revision is the configuration in force.
+	Revision spokeconfig.Revision `json:"revision"`
+	// Draining says that the instance shuts down.
+	Draining bool `json:"draining,omitempty"`
+	// Uses are the requests under way at backend servers, where changed.
+	Uses map[string]spokebackend.Use `json:"uses,omitempty"`
+	// Leaving are backend servers that take no new work, with the time left.
+	Leaving map[string]spokeclock.Millis `json:"leaving,omitempty"`
+	// Places are summaries of data centres.
+	Places []spokemember.Place `json:"places,omitempty"`
+}
+
+// ConfigRequest asks for what changed behind a revision.
+type ConfigRequest struct {
+	// From is the revision held.
+	From spokeconfig.Revision `json:"from"`
+}
+
+// AttemptRequest asks what an instance knows of an attempt.
+type AttemptRequest struct {
+	// Attempt is the attempt.
+	Attempt string `json:"attempt"`
+}
+
+// AttemptReply tells it.
+type AttemptReply struct {
+	// State is the claim's state in that process, empty when it knows nothing.
+	State spokeclaim.State `json:"state"`
+}
--- /dev/null
+++ b/spokeretry/budget.go
@@ -0,0 +1,72 @@
+package spokeretry
+
+import "sync"
+
+const (
+	defaultRatio   = 0.1
+	defaultReserve = 10
+)
+
+// Budget allows retries as a part of the requests that came. Set its fields
+// before the first call. It is safe for concurrent use.
+type Budget struct {
+	// Ratio is the number of retries allowed for each request. Zero means 0.1.
+	Ratio float64
+	// Reserve is the largest number of retries saved up. Zero means 10.
+	Reserve float64
+
+	mutex  sync.Mutex
+	filled bool
+	tokens float64
+	denied int64
+}
+
+// Request counts a first try.
+func (b *Budget) Request() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.fill()
+	b.tokens = min(b.reserve(), b.tokens+b.ratio())
+}
+
+// Allow takes one retry out of the budget and reports whether it was there.
+func (b *Budget) Allow() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.fill()
+	if b.tokens < 1 {
+		b.denied++
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Denied returns how many retries were not allowed.
+func (b *Budget) Denied() int64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.denied
+}
+
+func (b *Budget) fill() {
+	if b.filled {
+		return
+	}
+	b.filled = true
+	b.tokens = b.reserve()
+}
+
+func (b *Budget) ratio() float64 {
+	if b.Ratio == 0 {
+		return defaultRatio
+	}
+	return b.Ratio
+}
+
+func (b *Budget) reserve() float64 {
+	if b.Reserve == 0 {
+		return defaultReserve
+	}
+	return b.Reserve
+}
--- /dev/null
+++ b/spokeretry/doc.go
@@ -0,0 +1,2 @@
+// Package spokeretry bounds retries, so that failures cannot multiply load.
+package spokeretry
--- /dev/null
+++ b/spokeserve/chat.go
@@ -0,0 +1,239 @@
+package spokeserve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	"mulberryspoke.example/mulberryspoke/gen/chat"
+	"mulberryspoke.example/mulberryspoke/gen/types"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeengine"
+	"mulberryspoke.example/mulberryspoke/spokeroute"
+	"mulberryspoke.example/mulberryspoke/spoketrace"
+)
+
+const (
+	defaultMaxTokens = 128
+	largestMaxTokens = 32768
+	contentJSON      = "application/json"
+	contentEvents    = "text/event-stream"
+	quickPriority    = 8
+	longPriority     = 2
+)
+
+// chatRequest is what is read of a model client's request. Fields that are not
+// read here are ignored, as model clients send many.
+type chatRequest struct {
+	Model               string                `json:"model"`
+	Messages            []spokeengine.Message `json:"messages"`
+	MaxTokens           int                   `json:"max_tokens"`
+	MaxCompletionTokens int                   `json:"max_completion_tokens"`
+	Stream              bool                  `json:"stream"`
+}
+
+// Complete implements the chat service of the API.
+func (s *Server) Complete(ctx context.Context, payload *chat.CompletePayload, body io.ReadCloser) (*chat.CompleteResult, io.ReadCloser, error) {
+	done := sync.OnceFunc(s.begin())
+	request, refused := s.readChat(body)
+	if refused != nil {
+		done()
+		s.Counters.refused("", refused.Detail.Type)
+		return nil, nil, refused
+	}
+	result, answer, refused := s.complete(ctx, payload, request, done)
+	if refused != nil {
+		done()
+		s.Counters.refused(request.Model, refused.Detail.Type)
+		return nil, nil, refused
+	}
+	return result, answer, nil
+}
+
+func (s *Server) readChat(body io.Reader) (chatRequest, *types.Refusal) {
+	var request chatRequest
+	text, refused := s.readBody(body)
+	if refused != nil {
+		return request, refused
+	}
+	if err := json.Unmarshal(text, &request); err != nil {
+		return request, refuse(KindMalformed, retrySlow, "the body is not a chat request: "+err.Error())
+	}
+	return request, checkChat(&request)
+}
+
+func (s *Server) readBody(body io.Reader) ([]byte, *types.Refusal) {
+	text, err := io.ReadAll(io.LimitReader(body, s.maxBody()+1))
+	if err != nil {
+		return nil, refuse(KindMalformed, retrySlow, "the body could not be read: "+err.Error())
+	}
+	if int64(len(text)) > s.maxBody() {
+		return nil, refuse(KindTooLarge, retrySlow, fmt.Sprintf("the body is over %d bytes", s.maxBody()))
+	}
+	return text, nil
+}
+
+func checkChat(request *chatRequest) *types.Refusal {
+	if request.Model == "" {
+		return refuse(KindMalformed, retrySlow, `"model" is empty; it names a service`)
+	}
+	if len(request.Messages) == 0 {
+		return refuse(KindMalformed, retrySlow, `"messages" is empty; at least one is needed`)
+	}
+	if request.MaxTokens == 0 {
+		request.MaxTokens = request.MaxCompletionTokens
+	}
+	if request.MaxTokens == 0 {
+		request.MaxTokens = defaultMaxTokens
+	}
+	if request.MaxTokens < 0 || request.MaxTokens > largestMaxTokens {
+		return refuse(KindMalformed, retrySlow, fmt.Sprintf(`"max_tokens" is %d; allowed: 1 to %d`, request.MaxTokens, largestMaxTokens))
+	}
+	return nil
+}
+
+// complete checks and admits a request and starts its answer. The answer's end
+// calls done.
+func (s *Server) complete(ctx context.Context, payload *chat.CompletePayload, request chatRequest, done func()) (*chat.CompleteResult, io.ReadCloser, *types.Refusal) {
+	v, refused := s.check(payload.Authorization, request.Model, spokeconfig.ServiceModel)
+	if refused != nil {
+		return nil, nil, refused
+	}
+	if refused := s.limit(v, request.MaxTokens); refused != nil {
+		return nil, nil, refused
+	}
+	long := request.MaxTokens >= v.service.LongAnswerTokens
+	ctx, span := spoketrace.Begin(ctx, "entry chat")
+	started := s.Clock.Now()
+	admission, refused := s.admit(ctx, v, long)
+	if refused != nil {
+		s.limiter.End(v.workspace.Name)
+		span.End(refused)
+		return nil, nil, refused
+	}
+	g := s.newGeneration(v, request, long, started)
+	g.end = func(err error) {
+		admission.Release()
+		s.limiter.End(v.workspace.Name)
+		span.End(err)
+		done()
+	}
+	g.start(ctx)
+	return s.deliver(g, request)
+}
+
+func (s *Server) newGeneration(v visitor, request chatRequest, long bool, started spokeclock.Millis) *generation {
+	g := &generation{
+		server:  s,
+		visitor: v,
+		long:    long,
+		started: started,
+		prefix:  prefixOf(v.service.Name, request.Messages),
+		request: spokeengine.GenerateRequest{
+			Model:     request.Model,
+			Messages:  request.Messages,
+			MaxTokens: request.MaxTokens,
+			Priority:  s.priority(v, long),
+		},
+		tokens: make(chan string, tokenRing),
+		ended:  make(chan struct{}),
+	}
+	return g
+}
+
+// priority orders requests within an engine: quick ones before long ones, then
+// by workspace.
+func (s *Server) priority(v visitor, long bool) int {
+	if s.Switches.NoPriority {
+		return 0
+	}
+	if long {
+		return longPriority*maxWorkspacePriority + v.workspace.Priority
+	}
+	return quickPriority*maxWorkspacePriority + v.workspace.Priority
+}
+
+const maxWorkspacePriority = 10
+
+// prefixOf hashes all turns but the last.
+func prefixOf(service string, messages []spokeengine.Message) uint64 {
+	parts := []string{service}
+	for _, message := range messages[:len(messages)-1] {
+		parts = append(parts, message.Role, message.Content)
+	}
+	return spokeroute.Hash(parts...)
+}
+
+// deliver hands the answer over as the caller asked for it: whole, or as
+// events once the first token is there.
+func (s *Server) deliver(g *generation, request chatRequest) (*chat.CompleteResult, io.ReadCloser, *types.Refusal) {
+	if request.Stream {
+		first, refused := g.first()
+		if refused != nil {
+			return nil, nil, refused
+		}
+		return &chat.CompleteResult{ContentType: contentEvents}, &eventBody{generation: g, first: first, model: request.Model}, nil
+	}
+	content, refused := g.whole()
+	if refused != nil {
+		return nil, nil, refused
+	}
+	text := wholeAnswer(g, request, content)
+	return &chat.CompleteResult{ContentType: contentJSON}, io.NopCloser(bytes.NewReader(text)), nil
+}
+
+// Completion is a whole answer as model clients read it.
+type Completion struct {
+	// ID names the answer.
+	ID string `json:"id"`
+	// Object is always "chat.completion".
+	Object string `json:"object"`
+	// Created is the second since the epoch.
+	Created int64 `json:"created"`
+	// Model is the service.
+	Model string `json:"model"`
+	// Choices holds the one answer.
+	Choices []CompletionChoice `json:"choices"`
+	// Usage counts tokens.
+	Usage CompletionUsage `json:"usage"`
+}
+
+// CompletionChoice is the answer itself.
+type CompletionChoice struct {
+	// Index is always zero.
+	Index int `json:"index"`
+	// Message is the answer.
+	Message spokeengine.Message `json:"message"`
+	// FinishReason is why it ended.
+	FinishReason string `json:"finish_reason"`
+}
+
+// CompletionUsage counts tokens.
+type CompletionUsage struct {
+	// CompletionTokens counts the answer's tokens.
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+func wholeAnswer(g *generation, request chatRequest, content []string) []byte {
+	completion := Completion{
+		ID:      "chatcmpl-" + g.identity,
+		Object:  "chat.completion",
+		Created: int64(spokeclock.Wall() / spokeclock.Second),
+		Model:   request.Model,
+		Choices: []CompletionChoice{{
+			Message:      spokeengine.Message{Role: "assistant", Content: strings.Join(content, "")},
+			FinishReason: g.finish,
+		}},
+		Usage: CompletionUsage{CompletionTokens: len(content)},
+	}
+	text, err := json.Marshal(completion)
+	if err != nil {
+		panic("spokeserve: an answer has no JSON form: " + err.Error())
+	}
+	return text
+}
--- /dev/null
+++ b/spokeserve/incoming.go
@@ -0,0 +1,68 @@
+package spokeserve
+
+import (
+	"context"
+	"net/http"
+
+	"mulberryspoke.example/mulberryspoke/spoketrace"
+)
+
+// incoming is what the API's generated code does not pass on of a request.
+type incoming struct {
+	method      string
+	query       string
+	contentType string
+	status      int
+}
+
+type incomingKey struct{}
+
+// Carry wraps the API's handler, so that a plain service's method, query and
+// status go through, and the caller's trace goes on.
+func Carry(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		in := &incoming{method: r.Method, query: r.URL.RawQuery, contentType: r.Header.Get("Content-Type")}
+		ctx := spoketrace.Extract(r.Context(), r.Header)
+		ctx = context.WithValue(ctx, incomingKey{}, in)
+		next.ServeHTTP(&statusWriter{ResponseWriter: w, incoming: in}, r.WithContext(ctx))
+	})
+}
+
+func incomingFrom(ctx context.Context) *incoming {
+	in, ok := ctx.Value(incomingKey{}).(*incoming)
+	if !ok {
+		panic("spokeserve: a request did not come through Carry")
+	}
+	return in
+}
+
+// setStatus makes the answer carry a backend server's status.
+func setStatus(ctx context.Context, status int) {
+	incomingFrom(ctx).status = status
+}
+
+// pathWithin returns the path for the backend server.
+func (in *incoming) pathWithin(path string) string {
+	full := "/" + path
+	if in.query != "" {
+		full += "?" + in.query
+	}
+	return full
+}
+
+// statusWriter puts a backend server's status in place of the API's 200.
+type statusWriter struct {
+	http.ResponseWriter
+	incoming *incoming
+}
+
+// WriteHeader writes the backend server's status if there is one.
+func (w *statusWriter) WriteHeader(status int) {
+	if status == http.StatusOK && w.incoming.status != 0 {
+		status = w.incoming.status
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives the response controller the real writer.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/spokestandin/cloud.go
@@ -0,0 +1,288 @@
+package spokestandin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+)
+
+const historyLimit = 4096
+
+// CloudControl tells a cloud stand-in what to do.
+type CloudControl struct {
+	// Faults are set on every call when given.
+	Faults *CloudFaults `json:"faults,omitempty"`
+	// Register adds or replaces instances.
+	Register []spokecloud.Instance `json:"register,omitempty"`
+	// Pool adds instances that a start may hand out.
+	Pool []spokecloud.Instance `json:"pool,omitempty"`
+	// Reclaim takes instances back after a notice.
+	Reclaim *Reclaim `json:"reclaim,omitempty"`
+	// Routes give viewers other addresses of instances.
+	Routes []AddressRoute `json:"routes,omitempty"`
+}
+
+// CloudFaults are the faults of a cloud stand-in.
+type CloudFaults struct {
+	Faults
+	// RefuseStarts refuses every start.
+	RefuseStarts bool `json:"refuse_starts,omitempty"`
+	// HideNotices announces no reclaim.
+	HideNotices bool `json:"hide_notices,omitempty"`
+	// ListLag is how old the list is.
+	ListLag spokeclock.Millis `json:"list_lag_millis,omitempty"`
+	// ListFrozen serves the list as it was when this was set.
+	ListFrozen bool `json:"list_frozen,omitempty"`
+}
+
+// Reclaim announces that instances will be taken back, and does so.
+type Reclaim struct {
+	// Instances name the instances.
+	Instances []string `json:"instances,omitempty"`
+	// DataCentre adds every reclaimable backend server of a data centre.
+	DataCentre string `json:"data_centre,omitempty"`
+	// Notice is the time from the announcement to the end.
+	Notice spokeclock.Millis `json:"notice_millis"`
+}
+
+// AddressRoute makes one viewer see another address of an instance.
+type AddressRoute struct {
+	// Viewer names the viewer, as it stands in its list's URL.
+	Viewer string `json:"viewer"`
+	// Instance names the instance.
+	Instance string `json:"instance"`
+	// Address is what the viewer sees.
+	Address string `json:"address"`
+}
+
+// Cloud is a cloud API with a lagging list. Set its fields before Handler.
+type Cloud struct {
+	// KillFunc ends an instance. Nil sends it a control call that makes it
+	// exit.
+	KillFunc func(spokecloud.Instance)
+	// StartFunc starts an instance. Nil takes one from the pool.
+	StartFunc func(spokecloud.StartRequest) (spokecloud.Instance, bool)
+	// Clock tells the time. Nil means the real one.
+	Clock *spokeclock.Clock
+
+	faulty  faulty
+	mutex   sync.Mutex
+	faults  CloudFaults
+	live    map[string]spokecloud.Instance
+	pool    []spokecloud.Instance
+	started map[string]spokecloud.Instance
+	ends    map[string]spokeclock.Millis
+	routes  []AddressRoute
+	history []listed
+	frozen  []spokecloud.Instance
+}
+
+type listed struct {
+	at        spokeclock.Millis
+	instances []spokecloud.Instance
+}
+
+// Handler returns the service's HTTP interface.
+func (c *Cloud) Handler() http.Handler {
+	c.live = make(map[string]spokecloud.Instance)
+	c.started = make(map[string]spokecloud.Instance)
+	c.ends = make(map[string]spokeclock.Millis)
+	service := http.NewServeMux()
+	service.Handle("GET /v1/instances", spokehttp.Handle(c.list("")))
+	service.HandleFunc("GET /view/{viewer}/v1/instances", func(w http.ResponseWriter, r *http.Request) {
+		spokehttp.Handle(c.list(r.PathValue("viewer"))).ServeHTTP(w, r)
+	})
+	service.Handle("GET /v1/notices", spokehttp.Handle(c.notices))
+	service.Handle("POST /v1/start", spokehttp.Handle(c.start))
+	service.Handle("POST /v1/stop", spokehttp.Handle(c.stop))
+	mux := http.NewServeMux()
+	mux.Handle("/", c.faulty.wrap(service))
+	mux.Handle("POST /control", control(c.Control))
+	return mux
+}
+
+// Control does what a control call asks for.
+func (c *Cloud) Control(request CloudControl) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if request.Faults != nil {
+		c.setFaults(*request.Faults)
+	}
+	for _, instance := range request.Register {
+		instance.State = spokecloud.StateLive
+		c.live[instance.Name] = instance
+	}
+	c.pool = append(c.pool, request.Pool...)
+	c.routes = append(c.routes, request.Routes...)
+	if request.Reclaim != nil {
+		c.reclaim(*request.Reclaim)
+	}
+	c.record()
+}
+
+func (c *Cloud) setFaults(faults CloudFaults) {
+	if faults.ListFrozen && !c.faults.ListFrozen {
+		c.frozen = c.snapshot()
+	}
+	c.faults = faults
+	c.faulty.set(faults.Faults)
+}
+
+func (c *Cloud) reclaim(wave Reclaim) {
+	for name, instance := range c.live {
+		named := slices.Contains(wave.Instances, name)
+		placed := wave.DataCentre == instance.DataCentre && instance.Reclaimable && instance.Role == spokecloud.RoleBackend
+		if !named && !placed {
+			continue
+		}
+		if _, already := c.ends[name]; already {
+			continue
+		}
+		instance.State = spokecloud.StateLeaving
+		c.live[name] = instance
+		c.ends[name] = c.Clock.Now() + wave.Notice
+		go c.endLater(instance, wave.Notice)
+	}
+}
+
+func (c *Cloud) endLater(instance spokecloud.Instance, notice spokeclock.Millis) {
+	_ = spokeclock.Sleep(context.Background(), notice)
+	c.remove(instance.Name)
+	c.kill(instance)
+}
+
+func (c *Cloud) kill(instance spokecloud.Instance) {
+	if c.KillFunc != nil {
+		c.KillFunc(instance)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), spokeclock.Second.Duration())
+	defer cancel()
+	_, _ = spokehttp.Call[struct{}](ctx, http.DefaultClient, "http://"+instance.Address+"/control/exit", struct{}{})
+}
+
+func (c *Cloud) remove(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.live, name)
+	delete(c.ends, name)
+	c.record()
+}
+
+func (c *Cloud) snapshot() []spokecloud.Instance {
+	instances := make([]spokecloud.Instance, 0, len(c.live))
+	for _, instance := range c.live {
+		instances = append(instances, instance)
+	}
+	slices.SortFunc(instances, func(a, b spokecloud.Instance) int { return strings.Compare(a.Name, b.Name) })
+	return instances
+}
+
+func (c *Cloud) record() {
+	c.history = append(c.history, listed{at: c.Clock.Now(), instances: c.snapshot()})
+	if len(c.history) > historyLimit {
+		c.history = c.history[1:]
+	}
+}
+
+// seen returns the list as it was the lag ago.
+func (c *Cloud) seen() []spokecloud.Instance {
+	if c.faults.ListFrozen {
+		return c.frozen
+	}
+	horizon := c.Clock.Now() - c.faults.ListLag
+	for i := len(c.history) - 1; i >= 0; i-- {
+		if c.history[i].at <= horizon || i == 0 {
+			return c.history[i].instances
+		}
+	}
+	return nil
+}
+
+func (c *Cloud) list(viewer string) func(context.Context, struct{}) (spokecloud.Instances, error) {
+	return func(context.Context, struct{}) (spokecloud.Instances, error) {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		instances := slices.Clone(c.seen())
+		for i := range instances {
+			instances[i].Address = c.addressFor(viewer, instances[i])
+		}
+		return spokecloud.Instances{Instances: instances}, nil
+	}
+}
+
+func (c *Cloud) addressFor(viewer string, instance spokecloud.Instance) string {
+	for _, route := range c.routes {
+		if route.Viewer == viewer && route.Instance == instance.Name {
+			return route.Address
+		}
+	}
+	return instance.Address
+}
+
+func (c *Cloud) notices(context.Context, struct{}) (spokecloud.Notices, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var notices spokecloud.Notices
+	if c.faults.HideNotices {
+		return notices, nil
+	}
+	for name, end := range c.ends {
+		left := max(0, end-c.Clock.Now())
+		notices.Notices = append(notices.Notices, spokecloud.Notice{Instance: name, Left: left})
+	}
+	return notices, nil
+}
+
+func (c *Cloud) start(_ context.Context, request spokecloud.StartRequest) (spokecloud.Instance, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if instance, ok := c.started[request.Token]; ok {
+		return instance, nil
+	}
+	instance, ok := c.provide(request)
+	if c.faults.RefuseStarts || !ok {
+		return spokecloud.Instance{}, &spokehttp.Status{Code: http.StatusConflict, Text: "no room for such an instance"}
+	}
+	instance.State = spokecloud.StateLive
+	c.live[instance.Name] = instance
+	c.started[request.Token] = instance
+	c.record()
+	return instance, nil
+}
+
+func (c *Cloud) provide(request spokecloud.StartRequest) (spokecloud.Instance, bool) {
+	if c.faults.RefuseStarts {
+		return spokecloud.Instance{}, false
+	}
+	if c.StartFunc != nil {
+		return c.StartFunc(request)
+	}
+	i := slices.IndexFunc(c.pool, func(spare spokecloud.Instance) bool {
+		return spare.DataCentre == request.DataCentre && spare.Service == request.Service && spare.Reclaimable == request.Reclaimable
+	})
+	if i < 0 {
+		return spokecloud.Instance{}, false
+	}
+	spare := c.pool[i]
+	c.pool = slices.Delete(c.pool, i, i+1)
+	return spare, true
+}
+
+func (c *Cloud) stop(_ context.Context, request spokecloud.StopRequest) (struct{}, error) {
+	c.mutex.Lock()
+	instance, ok := c.live[request.Instance]
+	c.mutex.Unlock()
+	if !ok {
+		return struct{}{}, &spokehttp.Status{Code: http.StatusNotFound, Text: "no such instance"}
+	}
+	c.remove(request.Instance)
+	go c.kill(instance)
+	return struct{}{}, nil
+}
--- /dev/null
+++ b/spokestandin/plain.go
@@ -0,0 +1,154 @@
+package spokestandin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokeplain"
+)
+
+// PlainFaults are the faults of a plain service.
+type PlainFaults struct {
+	Faults
+	// Work is how long each run takes.
+	Work spokeclock.Millis `json:"work_millis,omitempty"`
+	// WrongAttempt answers that many requests under another attempt.
+	WrongAttempt int `json:"wrong_attempt,omitempty"`
+}
+
+// Runs counts how often each request body ran.
+type Runs struct {
+	// Total counts all runs.
+	Total int `json:"total"`
+	// ByBody counts runs of each body.
+	ByBody map[string]int `json:"by_body"`
+}
+
+// Confirmation is a plain service's answer.
+type Confirmation struct {
+	// Server names the backend server.
+	Server string `json:"server"`
+	// Path is the path that was asked for.
+	Path string `json:"path"`
+	// Body is the body that was run.
+	Body string `json:"body"`
+}
+
+// Plain is a plain service that counts each run. Set its fields before
+// Handler.
+type Plain struct {
+	// Name names the backend server.
+	Name string
+	// Work is how long each run takes.
+	Work spokeclock.Millis
+
+	faulty   faulty
+	mutex    sync.Mutex
+	wrong    int
+	runs     Runs
+	attempts map[string]*spokeplain.Report
+}
+
+// Handler returns the service's HTTP interface.
+func (p *Plain) Handler() http.Handler {
+	p.runs.ByBody = make(map[string]int)
+	p.attempts = make(map[string]*spokeplain.Report)
+	service := http.NewServeMux()
+	service.HandleFunc("/", p.serve)
+	service.Handle("POST /v1/attempts/seal", spokehttp.Handle(p.seal))
+	mux := http.NewServeMux()
+	mux.Handle("/", p.faulty.wrap(service))
+	mux.Handle("POST /control", control(p.set))
+	mux.Handle("GET /runs", spokehttp.Handle(p.count))
+	mux.HandleFunc("POST /control/exit", exit)
+	return mux
+}
+
+func (p *Plain) set(faults PlainFaults) {
+	p.faulty.set(faults.Faults)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.Work = faults.Work
+	p.wrong = faults.WrongAttempt
+}
+
+func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	attempt := r.Header.Get(spokeplain.AttemptHeader)
+	w.Header().Set(spokeplain.AttemptHeader, p.carried(attempt))
+	if !p.begin(attempt, string(body)) {
+		w.Header().Set(spokeplain.SealedHeader, "true")
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	p.mutex.Lock()
+	work := p.Work
+	p.mutex.Unlock()
+	_ = spokeclock.Sleep(context.Background(), work)
+	answer := p.finish(attempt, Confirmation{Server: p.Name, Path: r.URL.Path, Body: string(body)})
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func (p *Plain) carried(attempt string) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.wrong == 0 {
+		return attempt
+	}
+	p.wrong--
+	return "another-attempt"
+}
+
+func (p *Plain) begin(attempt, body string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if report, seen := p.attempts[attempt]; seen && !report.Ran {
+		return false
+	}
+	p.attempts[attempt] = &spokeplain.Report{Ran: true}
+	p.runs.Total++
+	p.runs.ByBody[body]++
+	return true
+}
+
+func (p *Plain) finish(attempt string, confirmation Confirmation) spokeplain.Answer {
+	text, _ := json.Marshal(confirmation)
+	answer := spokeplain.Answer{Status: http.StatusOK, ContentType: "application/json", Body: text}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	report := p.attempts[attempt]
+	report.Finished = true
+	report.Answer = answer
+	return answer
+}
+
+func (p *Plain) seal(_ context.Context, request spokeplain.SealRequest) (spokeplain.Report, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	report, seen := p.attempts[request.Attempt]
+	if !seen {
+		report = &spokeplain.Report{}
+		p.attempts[request.Attempt] = report
+	}
+	return *report, nil
+}
+
+func (p *Plain) count(context.Context, struct{}) (Runs, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	runs := Runs{Total: p.runs.Total, ByBody: make(map[string]int, len(p.runs.ByBody))}
+	for body, count := range p.runs.ByBody {
+		runs.ByBody[body] = count
+	}
+	return runs, nil
+}
--- /dev/null
+++ b/spokesuspect/doc.go
@@ -0,0 +1,3 @@
+// Package spokesuspect decides from the times of heartbeats whether a peer is
+// suspected to have failed. It does no input or output.
+package spokesuspect
--- /dev/null
+++ b/spoketable/doc.go
@@ -0,0 +1,2 @@
+// Package spoketable speaks to the platform's transactional table service.
+package spoketable
--- /dev/null
+++ b/spokewatch/watch.go
@@ -0,0 +1,165 @@
+package spokewatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeengine"
+	"mulberryspoke.example/mulberryspoke/spokemember"
+)
+
+const (
+	configInterval = 1000 * spokeclock.Millis(1)
+	listInterval   = 1000 * spokeclock.Millis(1)
+	noticeInterval = 300 * spokeclock.Millis(1)
+	loadInterval   = 500 * spokeclock.Millis(1)
+	markInterval   = 100 * spokeclock.Millis(1)
+	loadTimeout    = 300 * spokeclock.Millis(1)
+	loadReaders    = 8
+	// pollers is how many instances' worth of polling a data centre does.
+	pollers = 2
+)
+
+// Watch polls for one entry instance. Set its fields before Run.
+type Watch struct {
+	// Cloud is the platform's list and notices.
+	Cloud *spokecloud.Cloud
+	// Keeper reads the configuration.
+	Keeper *spokeconfig.Keeper
+	// View says who else polls.
+	View *spokemember.View
+	// Registry takes what is learned of backend servers.
+	Registry *spokebackend.Registry
+	// Client reads load reports.
+	Client *http.Client
+	// ChangedFunc is called when a newer configuration was read.
+	ChangedFunc func()
+	// Log takes the log lines.
+	Log zerolog.Logger
+}
+
+// Run polls until ctx ends, with a goroutine for each duty.
+func (w *Watch) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { w.shared(ctx, configInterval, w.config) })
+	duties.Go(func() { w.shared(ctx, listInterval, w.list) })
+	duties.Go(func() { w.shared(ctx, noticeInterval, w.notices) })
+	duties.Go(func() { spokeclock.Every(ctx, loadInterval, func() { w.loads(ctx) }) })
+	duties.Go(func() { spokeclock.Every(ctx, markInterval, w.marks) })
+	duties.Wait()
+}
+
+// shared polls at an interval that grows with the number of live instances.
+func (w *Watch) shared(ctx context.Context, interval spokeclock.Millis, poll func(context.Context)) {
+	for ctx.Err() == nil {
+		poll(ctx)
+		live := spokeclock.Millis(len(w.View.Live()))
+		pause := max(interval, interval*live/pollers)
+		if spokeclock.Sleep(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+func (w *Watch) config(ctx context.Context) {
+	before := w.Keeper.Store.Revision()
+	if err := w.Keeper.Refresh(ctx); err != nil {
+		w.Log.Debug().Err(err).Msg("Configuration could not be read.")
+		return
+	}
+	if revision := w.Keeper.Store.Revision(); revision > before {
+		w.Log.Info().Int64("revision", int64(revision)).Msg("Configuration read.")
+		w.ChangedFunc()
+	}
+}
+
+func (w *Watch) list(ctx context.Context) {
+	instances, err := w.Cloud.List(ctx)
+	if err != nil {
+		w.Log.Debug().Err(err).Msg("List could not be read.")
+		return
+	}
+	w.Registry.Learn(instances)
+	w.View.Learn(instances)
+}
+
+func (w *Watch) notices(ctx context.Context) {
+	notices, err := w.Cloud.Notices(ctx)
+	if err != nil {
+		w.Log.Debug().Err(err).Msg("Notices could not be read.")
+		return
+	}
+	before := len(w.Registry.Leaving())
+	for _, notice := range notices {
+		w.Registry.Leave(notice.Instance, spokebackend.Departure{Source: spokebackend.SourceNotice, Left: notice.Left})
+	}
+	if len(w.Registry.Leaving()) > before {
+		w.Log.Info().Int("notices", len(notices)).Msg("Reclaim announced.")
+		w.ChangedFunc()
+	}
+}
+
+// marks puts the operators' marks in force on the registry.
+func (w *Watch) marks() {
+	snapshot := w.Keeper.Store.Current()
+	if snapshot == nil {
+		return
+	}
+	for _, mark := range snapshot.Marks() {
+		source := spokebackend.SourceDrain
+		if mark.Kind == spokeconfig.MarkStop {
+			source = spokebackend.SourceStop
+		}
+		w.Registry.Leave(mark.Instance, spokebackend.Departure{Source: source})
+	}
+	for _, name := range w.Registry.Marked() {
+		if snapshot.Mark(name) == spokeconfig.MarkNone {
+			w.Registry.Unmark(name)
+		}
+	}
+}
+
+// loads reads the reports of the servers that this instance watches.
+func (w *Watch) loads(ctx context.Context) {
+	snapshot := w.Keeper.Store.Current()
+	if snapshot == nil {
+		return
+	}
+	gate := make(chan struct{}, loadReaders)
+	var readers sync.WaitGroup
+	for _, name := range w.Registry.Names() {
+		instance, known := w.Registry.Lookup(name)
+		if !known || !w.reports(snapshot, instance) {
+			continue
+		}
+		gate <- struct{}{}
+		readers.Go(func() {
+			w.load(ctx, instance)
+			<-gate
+		})
+	}
+	readers.Wait()
+}
+
+func (w *Watch) reports(snapshot *spokeconfig.Snapshot, instance spokecloud.Instance) bool {
+	service, ok := snapshot.Service(instance.Service)
+	return ok && service.Kind == spokeconfig.ServiceModel && w.View.Watches(instance.Name)
+}
+
+func (w *Watch) load(ctx context.Context, instance spokecloud.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout.Duration())
+	defer cancel()
+	engine := spokeengine.Engine{URL: "http://" + instance.Address, Client: w.Client}
+	load, err := engine.Load(ctx)
+	if err != nil {
+		return
+	}
+	w.Registry.TakeReport(instance.Name, load)
+}
