demo: serve requests of each kind from end to end

Cause: the parts were built but had never run together. Conclusion: the thin path stands; real processes and tests come next.

--- /dev/null
+++ b/cmd/mulberryspoke/demo.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"mulberryspoke.example/mulberryspoke/examples"
+	"mulberryspoke.example/mulberryspoke/spokedemo"
+	"mulberryspoke.example/mulberryspoke/spokelog"
+)
+
+// demoCommand runs a deployment in this process.
+type demoCommand struct {
+	Once     bool   `long:"once" description:"Exit after the traffic instead of serving on"`
+	Example  string `long:"example" description:"Deployment to run" choice:"doi_nho_tech" choice:"vembanad" default:"doi_nho_tech"`
+	Address  string `long:"caller-address" description:"IP and port of the first entry instance; any free port if empty"`
+	LogLevel string `long:"log-level" description:"debug, info, warn or error" default:"error"`
+}
+
+// Execute prints each answer, then serves until a signal.
+func (c *demoCommand) Execute([]string) error {
+	example, err := spokedemo.Read(examples.Files, c.Example)
+	if err != nil {
+		return err
+	}
+	logs, err := spokelog.New(os.Stderr, c.LogLevel)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go onSignals(cancel, func() { os.Exit(exitFailed) })
+	local := &spokedemo.Local{Example: example, Logs: logs, CallerAddress: c.Address}
+	demo := &spokedemo.Demo{Local: local, Out: os.Stdout}
+	if err := demo.Run(ctx); err != nil {
+		return err
+	}
+	if !c.Once {
+		fmt.Println("serving on " + local.CallerURLs()[0] + " until interrupted")
+		<-ctx.Done()
+	}
+	cancel()
+	local.Wait()
+	return nil
+}
--- /dev/null
+++ b/spokedemo/apply.go
@@ -0,0 +1,48 @@
+package spokedemo
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokeoperate"
+)
+
+// Apply applies a declaration and waits until every entry instance is ready.
+// It returns an error of kind KindStart.
+func (l *Local) Apply(ctx context.Context, declaration []byte) error {
+	client := spokeoperate.NewClient(l.OperatorURLs()[0], l.Example.Deployment.OperatorKey)
+	if _, err := client.Apply(ctx, string(declaration), spokeoperate.NewestRevision, false, uuid.NewString()); err != nil {
+		return spokeerror.New("apply declaration", KindStart, err)
+	}
+	return l.awaitReady(ctx)
+}
+
+func (l *Local) awaitReady(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, readyWithin.Duration())
+	defer cancel()
+	for _, url := range l.CallerURLs() {
+		for !ready(bounded, url) {
+			if spokeclock.Sleep(bounded, readyPause) != nil {
+				return spokeerror.Newf("wait for entry instance", KindStart, "%s is not ready", url)
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, url string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/ready", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusNoContent
+}
--- /dev/null
+++ b/spokedemo/demo.go
@@ -0,0 +1,70 @@
+package spokedemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokeload"
+)
+
+const (
+	demoRate   = 8
+	demoLength = 5 * spokeclock.Second
+	demoSeed   = 1
+	shownText  = 40
+)
+
+// Demo sends a deployment's traffic through it and prints each answer. Set its
+// fields before Run.
+type Demo struct {
+	// Local is the deployment.
+	Local *Local
+	// Out takes what is printed.
+	Out io.Writer
+}
+
+// Run prints each answer and a last line that counts them. It returns an error
+// of kind KindStart, or of kind KindLost when an answer was lost.
+func (d *Demo) Run(ctx context.Context) error {
+	if err := d.Local.Start(ctx); err != nil {
+		return err
+	}
+	d.banner()
+	plan := spokeload.Plan{
+		Seed: demoSeed, Targets: d.Local.CallerURLs(), Mix: d.Local.Example.Deployment.Traffic,
+		Phases: []spokeload.Phase{{Rate: demoRate, Length: demoLength}},
+	}
+	result, err := spokeload.Run(ctx, plan, d.show)
+	if err != nil {
+		return err
+	}
+	lost := result.Broken()
+	answered := result.Count(spokeload.VerdictWhole)
+	_, _ = fmt.Fprintf(d.Out, "demo: %d answered, %d refused, %d lost\n", answered, result.Sent()-answered-lost, lost)
+	if lost > 0 {
+		return spokeerror.Newf("demo", KindLost, "%d requests", lost)
+	}
+	return nil
+}
+
+func (d *Demo) banner() {
+	table := tabwriter.NewWriter(d.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "entry instance\tdata centre\tcallers\toperators")
+	for _, entry := range d.Local.entries {
+		s := entry.Settings
+		_, _ = fmt.Fprintf(table, "%s\t%s\thttp://%s\thttp://%s\n", s.Name, s.DataCentre, s.CallerAddress, s.OperatorAddress)
+	}
+	_ = table.Flush()
+}
+
+func (d *Demo) show(reply *spokeload.Reply) {
+	text := reply.Text()
+	if len(text) > shownText {
+		text = text[:shownText] + "…"
+	}
+	_, _ = fmt.Fprintf(d.Out, "%-9s %-8s %5d ms  %s%s\n", reply.Kind(), reply.Verdict(), reply.Whole(), text, reply.Detail())
+}
--- /dev/null
+++ b/spokedemo/deployment.go
@@ -0,0 +1,90 @@
+package spokedemo
+
+import (
+	"bytes"
+	"io/fs"
+
+	"github.com/goccy/go-yaml"
+
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokeload"
+)
+
+// Kind is the kind of an error of this package.
+type Kind string
+
+const (
+	// KindDeployment says that a deployment's files are not usable.
+	KindDeployment Kind = "invalid_deployment"
+	// KindStart says that a part could not be started.
+	KindStart Kind = "start"
+	// KindLost says that requests were lost.
+	KindLost Kind = "lost"
+)
+
+// Deployment tells what a demo runs.
+type Deployment struct {
+	// OperatorKey is the operators' key.
+	OperatorKey string `yaml:"operator_key"`
+	// DataCentres are the places and what runs there.
+	DataCentres []DataCentre `yaml:"data_centres"`
+	// Traffic is the mix of requests.
+	Traffic []spokeload.Kind `yaml:"traffic"`
+}
+
+// DataCentre is what runs in one place.
+type DataCentre struct {
+	// Name names the data centre.
+	Name string `yaml:"name"`
+	// Entries is the number of entry instances.
+	Entries int `yaml:"entries"`
+	// Servers are the backend servers.
+	Servers []Servers `yaml:"servers"`
+}
+
+// Servers are some backend servers of one kind.
+type Servers struct {
+	// Service names the service.
+	Service string `yaml:"service"`
+	// Kind is the kind of service.
+	Kind spokeconfig.ServiceKind `yaml:"kind"`
+	// Count is how many there are.
+	Count int `yaml:"count"`
+	// Slots is how many answers a model engine runs at once.
+	Slots int `yaml:"slots"`
+	// MachineClass is the class of machine.
+	MachineClass string `yaml:"machine_class"`
+	// Reclaimable says that the platform may take them back.
+	Reclaimable bool `yaml:"reclaimable"`
+}
+
+// Example is a deployment with its declaration.
+type Example struct {
+	// Deployment tells what runs.
+	Deployment Deployment
+	// Declaration is the text of the declaration.
+	Declaration []byte
+}
+
+// Read reads an example from a folder of a file system. It returns an error of
+// kind KindDeployment.
+func Read(files fs.FS, folder string) (Example, error) {
+	text, err := fs.ReadFile(files, folder+"/deployment.yaml")
+	if err != nil {
+		return Example{}, spokeerror.New("read deployment", KindDeployment, err)
+	}
+	var example Example
+	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField())
+	if err := decoder.Decode(&example.Deployment); err != nil {
+		return Example{}, spokeerror.New("read deployment", KindDeployment, err)
+	}
+	example.Declaration, err = fs.ReadFile(files, folder+"/declaration.yaml")
+	if err != nil {
+		return Example{}, spokeerror.New("read deployment", KindDeployment, err)
+	}
+	if _, err := spokeconfig.Parse(example.Declaration); err != nil {
+		return Example{}, spokeerror.New("read deployment", KindDeployment, err)
+	}
+	return example, nil
+}
--- /dev/null
+++ b/spokedemo/local.go
@@ -0,0 +1,267 @@
+package spokedemo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeentry"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokelog"
+	"mulberryspoke.example/mulberryspoke/spokestandin"
+)
+
+const (
+	loopback    = "127.0.0.1:0"
+	readyWithin = 10 * spokeclock.Second
+	readyPause  = 20 * spokeclock.Millis(1)
+)
+
+// Local is a deployment in this process. Set its fields before Start.
+type Local struct {
+	// Example is what to run.
+	Example Example
+	// Logs is the source of loggers.
+	Logs spokelog.Root
+	// Step is the time of an engine's step. Zero means the engine's own.
+	Step time.Duration
+	// SwitchOff names mechanisms to turn off.
+	SwitchOff []string
+	// CallerAddress is where the first entry instance listens. Empty means any
+	// free port.
+	CallerAddress string
+
+	ctx     context.Context
+	mutex   sync.Mutex
+	running sync.WaitGroup
+	stops   map[string]func()
+	table   *spokestandin.Table
+	cloud   *spokestandin.Cloud
+	engines map[string]*spokestandin.Engine
+	plains  map[string]*spokestandin.Plain
+	entries []*spokeentry.Entry
+	urls    platformURLs
+}
+
+type platformURLs struct {
+	table  string
+	object string
+	cloud  string
+}
+
+// Start runs the deployment until ctx ends and applies its declaration. It
+// returns an error of kind KindStart.
+func (l *Local) Start(ctx context.Context) error {
+	l.ctx = ctx
+	l.stops = make(map[string]func())
+	l.engines = make(map[string]*spokestandin.Engine)
+	l.plains = make(map[string]*spokestandin.Plain)
+	if err := l.startPlatform(); err != nil {
+		return err
+	}
+	for _, place := range l.Example.Deployment.DataCentres {
+		if err := l.startServers(place); err != nil {
+			return err
+		}
+	}
+	for _, place := range l.Example.Deployment.DataCentres {
+		if err := l.startEntries(place); err != nil {
+			return err
+		}
+	}
+	return l.Apply(ctx, l.Example.Declaration)
+}
+
+// Wait waits until everything has stopped after ctx ended.
+func (l *Local) Wait() { l.running.Wait() }
+
+// listenAndServe serves a handler on a free port and returns its address.
+func (l *Local) listenAndServe(name string, handler http.Handler) (string, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(l.ctx, "tcp", loopback)
+	if err != nil {
+		return "", spokeerror.New("start "+name, KindStart, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	l.running.Go(func() { _ = server.Serve(listener) })
+	stop := sync.OnceFunc(func() { _ = server.Close() })
+	context.AfterFunc(l.ctx, stop)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.stops[name] = stop
+	return listener.Addr().String(), nil
+}
+
+func (l *Local) startPlatform() error {
+	l.table = &spokestandin.Table{}
+	l.cloud = &spokestandin.Cloud{KillFunc: func(i spokecloud.Instance) { l.Kill(i.Name) }}
+	tableAddress, err := l.listenAndServe("table", l.table.Handler())
+	if err != nil {
+		return err
+	}
+	objectAddress, err := l.listenAndServe("object", (&spokestandin.Object{}).Handler())
+	if err != nil {
+		return err
+	}
+	cloudAddress, err := l.listenAndServe("cloud", l.cloud.Handler())
+	if err != nil {
+		return err
+	}
+	l.urls = platformURLs{table: "http://" + tableAddress, object: "http://" + objectAddress, cloud: "http://" + cloudAddress}
+	return nil
+}
+
+func (l *Local) startServers(place DataCentre) error {
+	for _, servers := range place.Servers {
+		for i := range servers.Count {
+			name := fmt.Sprintf("%s-%s-%d", place.Name, servers.Service, i+1)
+			if err := l.startServer(place.Name, name, servers); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (l *Local) startServer(place, name string, servers Servers) error {
+	handler := l.plainHandler(name)
+	if servers.Kind == spokeconfig.ServiceModel {
+		handler = l.engineHandler(name, servers)
+	}
+	address, err := l.listenAndServe(name, handler)
+	if err != nil {
+		return err
+	}
+	l.cloud.Control(spokestandin.CloudControl{Register: []spokecloud.Instance{{
+		Name: name, Role: spokecloud.RoleBackend, Service: servers.Service, DataCentre: place,
+		Address: address, MachineClass: servers.MachineClass, Reclaimable: servers.Reclaimable,
+	}}})
+	return nil
+}
+
+func (l *Local) plainHandler(name string) http.Handler {
+	plain := &spokestandin.Plain{Name: name}
+	l.plains[name] = plain
+	return plain.Handler()
+}
+
+func (l *Local) engineHandler(name string, servers Servers) http.Handler {
+	engine := &spokestandin.Engine{Name: name, Slots: servers.Slots, Step: l.Step}
+	l.engines[name] = engine
+	handler := engine.Handler()
+	l.running.Go(func() { engine.Run(l.ctx) })
+	return handler
+}
+
+func (l *Local) startEntries(place DataCentre) error {
+	for i := range place.Entries {
+		name := fmt.Sprintf("%s-entry-%d", place.Name, i+1)
+		if err := l.startEntry(place.Name, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Local) startEntry(place, name string) error {
+	settings, err := l.settings(place, name)
+	if err != nil {
+		return err
+	}
+	entry := &spokeentry.Entry{Settings: settings, Logs: l.Logs.With("instance", name)}
+	l.entries = append(l.entries, entry)
+	failed := make(chan error, 1)
+	l.running.Go(func() { failed <- entry.Run(l.ctx) })
+	select {
+	case err := <-failed:
+		return spokeerror.New("start "+name, KindStart, err)
+	case <-entry.Started():
+	}
+	l.stops[name] = entry.Kill
+	l.cloud.Control(spokestandin.CloudControl{Register: []spokecloud.Instance{{
+		Name: name, Role: spokecloud.RoleEntry, DataCentre: place, Address: settings.PeerAddress,
+	}}})
+	return nil
+}
+
+func (l *Local) settings(place, name string) (spokeentry.Settings, error) {
+	addresses, err := freeAddresses(l.ctx)
+	if err != nil {
+		return spokeentry.Settings{}, err
+	}
+	if l.CallerAddress != "" && len(l.entries) == 0 {
+		addresses[0] = l.CallerAddress
+	}
+	settings := spokeentry.Settings{
+		Name: name, DataCentre: place,
+		CallerAddress: addresses[0], OperatorAddress: addresses[1], PeerAddress: addresses[2],
+		TableURL: l.urls.table, ObjectURL: l.urls.object, CloudURL: l.urls.cloud, ListURL: l.urls.cloud,
+		OperatorKey: spokeconfig.HashKey(l.Example.Deployment.OperatorKey),
+		LogLevel:    "info", Trace: "none", Unready: 200, Grace: 10 * spokeclock.Second, MaxBody: 1 << 20,
+		SwitchOff: l.SwitchOff,
+	}
+	return settings, settings.Check()
+}
+
+const addressesEach = 3
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(ctx context.Context) ([]string, error) {
+	var addresses []string
+	var config net.ListenConfig
+	for range addressesEach {
+		listener, err := config.Listen(ctx, "tcp", loopback)
+		if err != nil {
+			return nil, spokeerror.New("find address", KindStart, err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Kill ends a part at once, as a crash would.
+func (l *Local) Kill(name string) {
+	l.mutex.Lock()
+	stop := l.stops[name]
+	l.mutex.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// CallerURLs returns where callers reach the entry instances.
+func (l *Local) CallerURLs() []string {
+	var urls []string
+	for _, entry := range l.entries {
+		urls = append(urls, "http://"+entry.Settings.CallerAddress)
+	}
+	return urls
+}
+
+// OperatorURLs returns where operators reach the entry instances.
+func (l *Local) OperatorURLs() []string {
+	var urls []string
+	for _, entry := range l.entries {
+		urls = append(urls, "http://"+entry.Settings.OperatorAddress)
+	}
+	return urls
+}
+
+// Table returns the stand-in for the table service.
+func (l *Local) Table() *spokestandin.Table { return l.table }
+
+// Cloud returns the stand-in for the cloud API.
+func (l *Local) Cloud() *spokestandin.Cloud { return l.cloud }
+
+// Engine returns a model engine by name, or nil.
+func (l *Local) Engine(name string) *spokestandin.Engine { return l.engines[name] }
+
+// Plain returns a plain service's backend server by name, or nil.
+func (l *Local) Plain(name string) *spokestandin.Plain { return l.plains[name] }
