--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Targets: test (format, lint, build, tests), demo, measure, soak, generate.
+BIN := $(CURDIR)/bin
+LINT_VERSION := v2.15.0
+GOA_VERSION := v3.25.3
+LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
+
+.PHONY: test demo lint build unit generate measure capacity soak
+
+test: lint build unit
+
+demo: build
+	$(BIN)/mulberryspoke demo --once
+
+$(LINT):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(BIN)/golangci-lint $(LINT)
+
+# golangci-lint runs gofumpt and goimports as formatters too.
+lint: $(LINT)
+	$(LINT) run ./...
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+unit:
+	go test -count=1 -timeout 20m ./...
+
+soak: build
+	MULBERRYSPOKE_SOAK=1 go test -count=1 -timeout 60m ./integration/...
+
+measure: build
+	$(BIN)/mulberryload measure --out docs
+
+capacity: build
+	$(BIN)/mulberryload capacity
+
+generate:
+	go run goa.design/goa/v3/cmd/goa@$(GOA_VERSION) gen mulberryspoke.example/mulberryspoke/design
--- a/cmd/mulberryspoke/operate.go
+++ b/cmd/mulberryspoke/operate.go
@@ -197,9 +197,9 @@
 
 func printTable(table *query.Table) error {
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, strings.Join(table.Columns, "\t"))
+	_, _ = fmt.Fprintln(out, strings.Join(table.Columns, "\t"))
 	for _, row := range table.Rows {
-		fmt.Fprintln(out, strings.Join(row.Cells, "\t"))
+		_, _ = fmt.Fprintln(out, strings.Join(row.Cells, "\t"))
 	}
 	return out.Flush()
 }
--- a/spokeload/caller.go
+++ b/spokeload/caller.go
@@ -51,6 +51,8 @@
 	gaps    []spokeclock.Millis
 	tries   int
 	text    string
+	body    string
+	scope   string
 }
 
 // Verdict returns what became of the request.
@@ -65,6 +67,13 @@
 // Text returns the beginning of the answer.
 func (r *Reply) Text() string { return r.text }
 
+// Body returns the body of a booking, by which its runs are counted.
+func (r *Reply) Body() string { return r.body }
+
+// RequestScope reports whether a refusal speaks of the whole request and not
+// of its last attempt only.
+func (r *Reply) RequestScope() bool { return r.scope == "request" }
+
 // First returns the time to the first token, from the intended start.
 func (r *Reply) First() spokeclock.Millis { return r.first }
 
@@ -83,6 +92,7 @@
 	Error struct {
 		Type    string `json:"type"`
 		Outcome string `json:"outcome"`
+		Scope   string `json:"scope"`
 	} `json:"error"`
 }
 
@@ -97,6 +107,9 @@
 func (c *caller) do(ctx context.Context, target func() string, j job, intended spokeclock.Millis) *Reply {
 	key := newKey()
 	reply := &Reply{number: j.number, kind: j.kind.Name, phase: j.phase}
+	if j.kind.Shape == ShapeBooking {
+		reply.body = bookingBody(j, key)
+	}
 	for {
 		reply.tries++
 		after := c.once(ctx, target(), j, key, intended, reply)
@@ -202,6 +215,7 @@
 		return spokeclock.Second
 	}
 	reply.set(verdictOf(body), body.Error.Type)
+	reply.scope = body.Error.Scope
 	return spokeclock.Millis(seconds) * spokeclock.Second
 }
 
--- a/spokeserve/refusal.go
+++ b/spokeserve/refusal.go
@@ -65,6 +65,9 @@
 	retrySlow = 5 * spokeclock.Second
 )
 
+// nameUnavailable is the goa error of what may soon be served.
+const nameUnavailable = "unavailable"
+
 // errorNames are the goa errors, and so the HTTP statuses, of the kinds.
 var errorNames = map[Kind]string{
 	KindMalformed:       "invalid",
@@ -77,11 +80,11 @@
 	KindUnknownService:  "unknown",
 	KindTooLarge:        "too_large",
 	KindLimited:         "limited",
-	KindOverloaded:      "unavailable",
-	KindNoConfiguration: "unavailable",
-	KindNoServer:        "unavailable",
-	KindShuttingDown:    "unavailable",
-	KindClaims:          "unavailable",
+	KindOverloaded:      nameUnavailable,
+	KindNoConfiguration: nameUnavailable,
+	KindNoServer:        nameUnavailable,
+	KindShuttingDown:    nameUnavailable,
+	KindClaims:          nameUnavailable,
 	KindServerFailed:    "failed",
 	KindTimeout:         "expired",
 }
