--- /dev/null
+++ b/integration/process_test.go
@@ -0,0 +1,124 @@
+package integration
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "mulberryspoke")
+	if err != nil {
+		panic(err)
+	}
+	programs = folder
+	build := exec.Command("go", "build", "-o", folder+"/", "../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// process is a started program.
+type process struct {
+	name string
+	args []string
+	log  *os.File
+
+	mutex sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+func startProcess(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
+	require.NoError(t, err)
+	p := &process{name: name, args: append([]string{program}, args...), log: log}
+	p.start(t)
+	t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+		if t.Failed() && os.Getenv("MULBERRYSPOKE_SHOW_LOGS") != "" {
+			text, _ := os.ReadFile(log.Name())
+			t.Logf("log of %s:\n%s", name, text)
+		}
+		_ = log.Close()
+	})
+	return p
+}
+
+func (p *process) start(t *testing.T) {
+	t.Helper()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	cmd := exec.Command(filepath.Join(programs, p.args[0]), p.args[1:]...)
+	cmd.Stderr = p.log
+	cmd.Stdout = p.log
+	require.NoError(t, cmd.Start())
+	ended := make(chan struct{})
+	p.cmd = cmd
+	p.ended = ended
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	_ = p.cmd.Process.Signal(signal)
+}
+
+// exits waits for the process to end and returns its exit code.
+func (p *process) exits(t *testing.T, within time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.ended:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(within):
+		t.Fatalf("%s did not end within %s", p.name, within)
+		return 0
+	}
+}
+
+var ports struct {
+	sync.Mutex
+	taken map[int]struct{}
+}
+
+// freeAddress returns a loopback address that no other test of this run uses.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.taken == nil {
+		ports.taken = make(map[int]struct{})
+	}
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		port := listener.Addr().(*net.TCPAddr).Port
+		_ = listener.Close()
+		if _, used := ports.taken[port]; used {
+			continue
+		}
+		ports.taken[port] = struct{}{}
+		return fmt.Sprintf("127.0.0.1:%d", port)
+	}
+}
