peer: carry requests under way in a few bytes and bound the heartbeats

Cause: at the design size, 20 entry instances before 570 backend servers in a data centre, each link spelled out server and field names every 500 ms, and each instance sent heartbeats in proportion to its links. An emulation of 21 data centres with 18 members each did not even open its links: each starting instance took itself for the gateway to every data centre, ran out of file descriptors, and the accept loop ended at the first failure. Ruled out: sharing only with the server's watcher; it costs about the same once the watcher publishes its sums. Change: requests under way go as 24-bit IDs and variable-length numbers; the time between heartbeats grows with the links beyond six and is told to the peer, whose timeout follows; unchanged summaries go with every second heartbeat; instances that are listed and not yet tried count when duties are shared out; the accept loop outlives a failure; servers' slots reach those who do not watch them; reports are read at most four a second; the list is sent only when it changed.

--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -32,6 +32,9 @@
 	servers map[string]*server
 	left    map[string]spokeclock.Millis
 	cancels map[string]map[*Work]func(Departure)
+	byPeer  map[string]map[ID]Use
+	byID    map[ID]Use
+	slots   map[ID]int
 }
 
 // Learn takes in the platform's list. Servers that are no longer listed are
@@ -70,6 +73,9 @@
 	r.servers = make(map[string]*server)
 	r.left = make(map[string]spokeclock.Millis)
 	r.cancels = make(map[string]map[*Work]func(Departure))
+	r.byPeer = make(map[string]map[ID]Use)
+	r.byID = make(map[ID]Use)
+	r.slots = make(map[ID]int)
 }
 
 // admit adds or updates a listed server, unless it is known to have left.
@@ -79,7 +85,7 @@
 	}
 	s, known := r.servers[instance.Name]
 	if !known {
-		s = &server{peers: make(map[string]Use), trust: 1}
+		s = &server{trust: 1}
 		r.servers[instance.Name] = s
 	}
 	s.instance = instance
@@ -214,39 +220,87 @@
 	}
 }
 
-// TakePeerUse replaces what a peer has under way at the given servers.
-func (r *Registry) TakePeerUse(peer string, uses map[string]Use) {
+// OwnSlots returns the slots of the servers whose reports this process reads.
+func (r *Registry) OwnSlots() map[ID]int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for name, use := range uses {
-		s, known := r.servers[name]
-		switch {
-		case !known:
-		case use.All == 0:
-			delete(s.peers, peer)
-		default:
-			s.peers[peer] = use
+	slots := make(map[ID]int)
+	for name, s := range r.servers {
+		if s.load.Slots > 0 {
+			slots[IDOf(name)] = s.load.Slots
 		}
 	}
+	return slots
+}
+
+// TakeSlots takes in a server's slots as a peer has read them.
+func (r *Registry) TakeSlots(id ID, slots int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.fill()
+	r.slots[id] = slots
+}
+
+// slotsOf returns a server's slots, by its own report or a peer's word.
+func (r *Registry) slotsOf(s *server) int {
+	if s.load.Slots > 0 {
+		return s.load.Slots
+	}
+	if slots := r.slots[IDOf(s.instance.Name)]; slots > 0 {
+		return slots
+	}
+	return defaultSlots
+}
+
+// TakePeerUse replaces what a peer has under way at the given servers. Servers
+// that are not known here yet count as soon as they are.
+func (r *Registry) TakePeerUse(peer string, uses map[ID]Use) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.fill()
+	held := r.byPeer[peer]
+	if held == nil {
+		held = make(map[ID]Use)
+		r.byPeer[peer] = held
+	}
+	for id, use := range uses {
+		r.shift(id, held[id], use)
+		held[id] = use
+		if use == (Use{}) {
+			delete(held, id)
+		}
+	}
+}
+
+// shift keeps the sum over all peers.
+func (r *Registry) shift(id ID, before, after Use) {
+	sum := r.byID[id]
+	sum.All += after.All - before.All
+	sum.Long += after.Long - before.Long
+	r.byID[id] = sum
+	if sum == (Use{}) {
+		delete(r.byID, id)
+	}
 }
 
 // ForgetPeer drops what a peer had under way.
 func (r *Registry) ForgetPeer(peer string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, s := range r.servers {
-		delete(s.peers, peer)
+	for id, use := range r.byPeer[peer] {
+		r.shift(id, use, Use{})
 	}
+	delete(r.byPeer, peer)
 }
 
 // OwnUse returns what this process has under way at each server.
-func (r *Registry) OwnUse() map[string]Use {
+func (r *Registry) OwnUse() map[ID]Use {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	uses := make(map[string]Use)
+	uses := make(map[ID]Use)
 	for name, s := range r.servers {
 		if s.own > 0 {
-			uses[name] = Use{All: s.own, Long: s.ownLong}
+			uses[IDOf(name)] = Use{All: s.own, Long: s.ownLong}
 		}
 	}
 	return uses
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -1,6 +1,8 @@
 package spokebackend
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
@@ -57,7 +59,6 @@
 	unlisted spokeclock.Millis
 	own      int
 	ownLong  int
-	peers    map[string]Use
 	load     spokeengine.Load
 	loadAt   spokeclock.Millis
 	gap      float64
@@ -68,6 +69,18 @@
 	trustAt  spokeclock.Millis
 }
 
+// ID stands for a server between entry instances, shorter than its name.
+type ID uint32
+
+// idBits is how many bits of a name's hash make its ID. Among a data centre's
+// servers two with the same are rare, and then only share their counts.
+const idBits = 24
+
+// IDOf returns the ID of a server's name.
+func IDOf(name string) ID {
+	return ID(xxhash.Sum64String(name) & (1<<idBits - 1))
+}
+
 // Use is how many requests one entry instance has under way at a server.
 type Use struct {
 	// All counts requests.
@@ -76,15 +89,6 @@
 	Long int `json:"long"`
 }
 
-func (s *server) use() Use {
-	sum := Use{All: s.own, Long: s.ownLong}
-	for _, use := range s.peers {
-		sum.All += use.All
-		sum.Long += use.Long
-	}
-	return sum
-}
-
 // mayBeLive reports whether nothing but the list speaks against an unlisted
 // server.
 func (s *server) mayBeLive(now spokeclock.Millis) bool {
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -54,7 +54,7 @@
 }
 
 func (r *Registry) candidate(s *server, median float64, now spokeclock.Millis) spokeroute.Candidate {
-	use := s.use()
+	peers := r.byID[IDOf(s.instance.Name)]
 	slowness := s.slowness(median, now)
 	s.retrust(slowness, now)
 	return spokeroute.Candidate{
@@ -62,9 +62,9 @@
 		Local:     s.instance.DataCentre == r.DataCentre,
 		Leaving:   s.leaving != "",
 		Suspended: now < s.idleTill,
-		Slots:     s.slots(),
-		InFlight:  use.All,
-		Long:      use.Long,
+		Slots:     r.slotsOf(s),
+		InFlight:  s.own + peers.All,
+		Long:      s.ownLong + peers.Long,
 		Reported:  s.load.Running + s.load.Waiting,
 		ReportAge: now - s.loadAt,
 		Slowness:  slowness,
@@ -72,13 +72,6 @@
 	}
 }
 
-func (s *server) slots() int {
-	if s.load.Slots == 0 {
-		return defaultSlots
-	}
-	return s.load.Slots
-}
-
 // medianGap returns the median time between tokens of a service's servers.
 func (r *Registry) medianGap(service string) float64 {
 	var gaps []float64
@@ -105,11 +98,11 @@
 			continue
 		}
 		c.live++
-		c.slots += int(float64(s.slots()) * Overcommit)
-		c.longSlots += spokeroute.LongLimit(s.slots())
-		use := s.use()
-		c.peers.All += use.All - s.own
-		c.peers.Long += use.Long - s.ownLong
+		c.slots += int(float64(r.slotsOf(s)) * Overcommit)
+		c.longSlots += spokeroute.LongLimit(r.slotsOf(s))
+		peers := r.byID[IDOf(s.instance.Name)]
+		c.peers.All += peers.All
+		c.peers.Long += peers.Long
 	}
 	return c
 }
--- a/spokecloud/cloud.go
+++ b/spokecloud/cloud.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
@@ -31,13 +32,30 @@
 	ListURL string
 	// Client makes the calls.
 	Client *http.Client
+
+	mutex sync.Mutex
+	tag   string
 }
 
-// List returns the instances as the platform last saw them. It returns an
-// error of kind KindUnavailable.
-func (c *Cloud) List(ctx context.Context) ([]Instance, error) {
-	list, err := get[Instances](ctx, c, c.ListURL+"/v1/instances")
-	return list.Instances, err
+// List returns the instances as the platform last saw them, and whether that
+// differs from what the last call returned. It returns an error of kind
+// KindUnavailable.
+func (c *Cloud) List(ctx context.Context) ([]Instance, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	ctx, span := spoketrace.Begin(ctx, "platform list")
+	c.mutex.Lock()
+	tag := c.tag
+	c.mutex.Unlock()
+	list, next, err := spokehttp.GetChanged[Instances](ctx, c.Client, c.ListURL+"/v1/instances", tag)
+	span.End(err)
+	if err != nil {
+		return nil, false, failure("read list", err)
+	}
+	c.mutex.Lock()
+	c.tag = next
+	c.mutex.Unlock()
+	return list.Instances, next == "" || next != tag, nil
 }
 
 // Notices returns the reclaims that are announced. It returns an error of kind
--- a/spokehttp/codec.go
+++ b/spokehttp/codec.go
@@ -81,28 +81,52 @@
 	return do[Answer](client, outgoing)
 }
 
+// GetChanged reads a JSON answer unless it still has a tag. It returns the
+// answer's own tag, which is the same when there was nothing new to read. Its
+// errors are those of Call.
+func GetChanged[Answer any](ctx context.Context, client *http.Client, url, tag string) (Answer, string, error) {
+	var answer Answer
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return answer, "", spokeerror.New("make request", KindNotSent, err)
+	}
+	if tag != "" {
+		outgoing.Header.Set("If-None-Match", tag)
+	}
+	answer, header, err := exchange[Answer](client, outgoing)
+	if StatusOf(err) == http.StatusNotModified {
+		return answer, tag, nil
+	}
+	return answer, header.Get("ETag"), err
+}
+
 func do[Answer any](client *http.Client, outgoing *http.Request) (Answer, error) {
+	answer, _, err := exchange[Answer](client, outgoing)
+	return answer, err
+}
+
+func exchange[Answer any](client *http.Client, outgoing *http.Request) (Answer, http.Header, error) {
 	var answer Answer
 	spoketrace.Inject(outgoing.Context(), outgoing.Header)
 	response, err := client.Do(outgoing)
 	if err != nil {
-		return answer, spokeerror.New("call", KindOfFailure(err), err)
+		return answer, nil, spokeerror.New("call", KindOfFailure(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
 	if err != nil {
-		return answer, spokeerror.New("read answer", KindNoAnswer, err)
+		return answer, nil, spokeerror.New("read answer", KindNoAnswer, err)
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return answer, spokeerror.New("call", KindRefused, &Status{Code: response.StatusCode, Text: string(text)})
+		return answer, nil, spokeerror.New("call", KindRefused, &Status{Code: response.StatusCode, Text: string(text)})
 	}
 	if len(text) == 0 {
-		return answer, nil
+		return answer, response.Header, nil
 	}
 	if err := json.Unmarshal(text, &answer); err != nil {
-		return answer, spokeerror.New("decode answer", KindNoAnswer, err)
+		return answer, nil, spokeerror.New("decode answer", KindNoAnswer, err)
 	}
-	return answer, nil
+	return answer, response.Header, nil
 }
 
 // Decode reads a JSON body of at most limit bytes and refuses unknown fields.
--- /dev/null
+++ b/spokemeasure/peer.go
@@ -0,0 +1,222 @@
+package spokemeasure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclaim"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokemember"
+	"mulberryspoke.example/mulberryspoke/spokepeer"
+)
+
+const (
+	peerWarm = 3 * spokeclock.Second
+	// peerWarmEach is the time for one more member's links to open.
+	peerWarmEach = 50 * spokeclock.Millis(1)
+	peerMeasure  = 6 * spokeclock.Second
+	churnTick    = 50 * spokeclock.Millis(1)
+	kilobyte     = 1000.0
+)
+
+// PeerSize is a size at which the links between entry instances are measured.
+type PeerSize struct {
+	// Places is the number of data centres.
+	Places int `json:"data_centres"`
+	// Members is the number of entry instances in each.
+	Members int `json:"members"`
+	// Servers is the number of backend servers in each.
+	Servers int `json:"servers"`
+	// Rate is the requests for each second at each entry instance.
+	Rate float64 `json:"requests_per_second"`
+	// Streams is the number of answers under way at each entry instance.
+	Streams int `json:"streams"`
+}
+
+// PeerCost is what the links cost each entry instance.
+type PeerCost struct {
+	// Size is the size it was measured at.
+	Size PeerSize `json:"size"`
+	// Sent is in kilobytes a second.
+	Sent float64 `json:"sent_kilobytes_per_second"`
+	// Received is in kilobytes a second.
+	Received float64 `json:"received_kilobytes_per_second"`
+	// Core is the part of a core, without the driver's own.
+	Core float64 `json:"core"`
+	// Memory is in megabytes, the Go runtime's heap and stacks in use.
+	Memory float64 `json:"memory_megabytes"`
+	// Heartbeats is the number sent each second.
+	Heartbeats float64 `json:"heartbeats_per_second"`
+}
+
+// member is one emulated entry instance, without callers and servers.
+type member struct {
+	node     *spokepeer.Node
+	registry *spokebackend.Registry
+	store    *spokeconfig.Store
+	names    []string
+	work     []*spokebackend.Work
+}
+
+// MeasurePeers runs that many entry instances' membership over loopback and
+// returns what it costs each.
+func MeasurePeers(ctx context.Context, size PeerSize) (PeerCost, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	members, err := startMembers(ctx, size)
+	var running sync.WaitGroup
+	defer func() {
+		cancel()
+		running.Wait()
+	}()
+	if err != nil {
+		return PeerCost{}, err
+	}
+	for i, m := range members {
+		running.Go(func() { m.node.Run(ctx) })
+		running.Go(func() { m.churn(ctx, size, uint64(i)) })
+	}
+	if err := spokeclock.Sleep(ctx, peerWarm+peerWarmEach*spokeclock.Millis(len(members))); err != nil {
+		return PeerCost{}, err
+	}
+	before, started := totals(members), time.Now()
+	if err := spokeclock.Sleep(ctx, peerMeasure); err != nil {
+		return PeerCost{}, err
+	}
+	after, seconds := totals(members), time.Since(started).Seconds()
+	each := func(total float64) float64 { return total / seconds / float64(len(members)) }
+	return PeerCost{
+		Size:       size,
+		Sent:       each(after.sent-before.sent) / kilobyte,
+		Received:   each(after.received-before.received) / kilobyte,
+		Core:       each(after.cpu - before.cpu),
+		Heartbeats: each(after.heartbeats - before.heartbeats),
+		Memory:     usedMegabytes() / float64(len(members)),
+	}, nil
+}
+
+// usedMegabytes returns what this process's heap and stacks use.
+func usedMegabytes() float64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse+stats.StackInuse) / (kilobyte * kilobyte)
+}
+
+type peerTotals struct {
+	sent       float64
+	received   float64
+	heartbeats float64
+	cpu        float64
+}
+
+func totals(members []*member) peerTotals {
+	sum := peerTotals{cpu: processSeconds()}
+	for _, m := range members {
+		sum.sent += float64(m.node.Traffic().Sent())
+		sum.received += float64(m.node.Traffic().Received())
+		sum.heartbeats += float64(m.node.Traffic().Messages())
+	}
+	return sum
+}
+
+// processSeconds returns the processor time of this process in seconds.
+func processSeconds() float64 {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
+
+func startMembers(ctx context.Context, size PeerSize) ([]*member, error) {
+	var members []*member
+	var identities []spokemember.Identity
+	var config net.ListenConfig
+	for place := range size.Places {
+		for i := range size.Members {
+			listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+			if err != nil {
+				return nil, err
+			}
+			identity := spokemember.Identity{
+				Name: fmt.Sprintf("region-%02d-entry-%03d", place, i), DataCentre: fmt.Sprintf("region-%02d", place),
+				Address: listener.Addr().String(), Generation: 1,
+			}
+			identities = append(identities, identity)
+			members = append(members, newMember(identity, listener, size))
+		}
+	}
+	for _, m := range members {
+		for _, identity := range identities {
+			m.node.View.Seed(identity)
+		}
+	}
+	return members, nil
+}
+
+func newMember(identity spokemember.Identity, listener net.Listener, size PeerSize) *member {
+	m := &member{registry: &spokebackend.Registry{DataCentre: identity.DataCentre}, store: &spokeconfig.Store{}}
+	var instances []spokecloud.Instance
+	for i := range size.Servers {
+		instances = append(instances, spokecloud.Instance{
+			Name: fmt.Sprintf("%s-assistant-%04d", identity.DataCentre, i), Role: spokecloud.RoleBackend,
+			Service: "assistant", DataCentre: identity.DataCentre, Address: "127.0.0.1:1", State: spokecloud.StateLive,
+		})
+	}
+	m.registry.Learn(instances)
+	m.names = m.registry.Names()
+	m.node = &spokepeer.Node{
+		View:        &spokemember.View{Self: identity},
+		Store:       m.store,
+		Registry:    m.registry,
+		AttemptFunc: func(string) spokeclaim.State { return "" },
+		Listener:    listener,
+		Log:         zerolog.Nop(),
+	}
+	return m
+}
+
+// churn begins and ends requests, so that their number stays about the same.
+func (m *member) churn(ctx context.Context, size PeerSize, seed uint64) {
+	if len(m.names) == 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // An experiment has to be repeatable.
+	for range size.Streams {
+		m.begin(random)
+	}
+	owed := 0.0
+	spokeclock.Every(ctx, churnTick, func() {
+		for owed += size.Rate * float64(churnTick) / float64(spokeclock.Second); owed >= 1; owed-- {
+			m.begin(random)
+			m.endOne(random)
+		}
+	})
+}
+
+func (m *member) begin(random *rand.Rand) {
+	name := m.names[random.IntN(len(m.names))]
+	if work, ok := m.registry.Begin(name, false, func(spokebackend.Departure) {}); ok {
+		m.work = append(m.work, work)
+	}
+}
+
+func (m *member) endOne(random *rand.Rand) {
+	if len(m.work) == 0 {
+		return
+	}
+	i := random.IntN(len(m.work))
+	m.work[i].Succeed()
+	m.work[i] = m.work[len(m.work)-1]
+	m.work = m.work[:len(m.work)-1]
+}
--- a/spokemember/identity.go
+++ b/spokemember/identity.go
@@ -34,12 +34,23 @@
 	Age spokeclock.Millis `json:"age_millis"`
 }
 
+// ranked is an identity with its hash.
+type ranked struct {
+	identity Identity
+	rank     uint64
+}
+
 // rendezvous orders identities by a hash with a salt, so that all instances
 // pick the same few without talking about it.
 func rendezvous(salt string, identities []Identity) []Identity {
-	ordered := slices.Clone(identities)
-	slices.SortFunc(ordered, func(a, b Identity) int {
-		return cmp.Compare(xxhash.Sum64String(salt+"|"+a.Name), xxhash.Sum64String(salt+"|"+b.Name))
-	})
+	list := make([]ranked, 0, len(identities))
+	for _, identity := range identities {
+		list = append(list, ranked{identity: identity, rank: xxhash.Sum64String(salt + "|" + identity.Name)})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	ordered := make([]Identity, 0, len(list))
+	for _, r := range list {
+		ordered = append(ordered, r.identity)
+	}
 	return ordered
 }
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -22,6 +22,9 @@
 	// avoidAfterFailure is how long a peer that could not be linked to is
 	// passed over when others of its data centre can be.
 	avoidAfterFailure = 5 * spokeclock.Second
+	// silentBeats is how many heartbeats a peer may miss before a timeout
+	// suspects it.
+	silentBeats = 5
 )
 
 // View is this instance's knowledge of the others. Set its fields before the
@@ -131,12 +134,16 @@
 	return true
 }
 
-// Heartbeat takes in a peer's state.
-func (v *View) Heartbeat(name string, revision spokeconfig.Revision, draining bool) {
+// Heartbeat takes in a peer's state. Interval is the time to its next
+// heartbeat, or zero when that has not changed.
+func (v *View) Heartbeat(name string, revision spokeconfig.Revision, draining bool, interval spokeclock.Millis) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.Clock.Now()
 	p := v.peer(name)
+	if interval > 0 {
+		p.detector.Timeout = silentBeats * interval
+	}
 	p.detector.Heartbeat(now)
 	p.seenAt = now
 	p.revision = revision
@@ -192,6 +199,28 @@
 	return identities
 }
 
+// standing returns the instances of this data centre among which duties are
+// shared out: the live ones, and the listed ones that have not been tried yet.
+// Without the latter, an instance that has just started would take all duties.
+func (v *View) standing() []Identity {
+	now := v.Clock.Now()
+	identities := []Identity{v.Self}
+	for _, p := range v.peers {
+		if p.identity.DataCentre != v.Self.DataCentre {
+			continue
+		}
+		untried := p.listed && !p.heard && !p.failedLately(now)
+		if untried || p.live(now) {
+			identities = append(identities, p.identity)
+		}
+	}
+	return identities
+}
+
+func (p *peer) failedLately(now spokeclock.Millis) bool {
+	return p.failed && now-p.failedAt <= avoidAfterFailure
+}
+
 // Silent returns the peers that are suspected, by name.
 func (v *View) Silent() []string {
 	v.mutex.Lock()
@@ -277,7 +306,7 @@
 func (v *View) Targets() []Identity {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	local := v.local()
+	local := v.standing()
 	others := make(map[string][]Identity)
 	var targets []Identity
 	for _, p := range v.peers {
@@ -311,7 +340,7 @@
 	var sound []Identity
 	for _, identity := range identities {
 		p := v.peers[identity.Name]
-		if p.listed && (!p.failed || now-p.failedAt > avoidAfterFailure) {
+		if p.listed && !p.failedLately(now) {
 			sound = append(sound, identity)
 		}
 	}
@@ -336,5 +365,5 @@
 func (v *View) Watches(server string) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return rendezvous(server, v.local())[0].Name == v.Self.Name
+	return rendezvous(server, v.standing())[0].Name == v.Self.Name
 }
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -15,9 +17,10 @@
 const (
 	redialStart = 100 * spokeclock.Millis(1)
 	redialLimit = 2 * spokeclock.Second
+	turnStart   = 1000
+	// placesBeats is the number of heartbeats for each unchanged summary.
+	placesBeats = 2
 	dialTimeout = 700 * spokeclock.Millis(1)
-	// placesEach is how many unchanged summaries go into one heartbeat.
-	placesEach = 2
 )
 
 // link is the outgoing side to one peer, with a goroutine of its own.
@@ -28,10 +31,13 @@
 	wakes  chan struct{}
 	done   chan struct{}
 
-	sentUses    map[string]spokebackend.Use
+	sentUses    map[spokebackend.ID]spokebackend.Use
 	sentLeaving map[string]struct{}
 	sentPlaces  map[string]spokemember.Place
 	turn        int
+
+	sentInterval spokeclock.Millis
+	sentSlots    map[spokebackend.ID]int
 }
 
 func (l *link) wake() {
@@ -87,9 +93,12 @@
 		l.node.pull(ctx, rpc)
 	}
 	l.node.greeted.Store(true)
-	l.sentUses = make(map[string]spokebackend.Use)
+	l.sentInterval = 0
+	l.sentSlots = make(map[spokebackend.ID]int)
+	l.sentUses = make(map[spokebackend.ID]spokebackend.Use)
 	l.sentLeaving = make(map[string]struct{})
 	l.sentPlaces = make(map[string]spokemember.Place)
+	l.turn = rand.IntN(turnStart) //nolint:gosec // Peers only have to start at different places.
 	return true
 }
 
@@ -101,7 +110,7 @@
 			return
 		}
 		l.node.traffic.messages.Add(1)
-		pause, cancel := context.WithTimeout(ctx, l.node.Interval.Duration())
+		pause, cancel := context.WithTimeout(ctx, l.node.heartbeatInterval().Duration())
 		select {
 		case <-broken:
 			cancel()
@@ -121,31 +130,57 @@
 	revision := l.node.Store.Revision()
 	return Heartbeat{
 		Revision: revision,
+		Interval: l.changedInterval(),
 		Draining: l.node.draining.Load(),
 		Uses:     l.changedUses(),
+		Slots:    l.newSlots(),
 		Leaving:  l.newLeaving(),
 		Places:   l.somePlaces(revision),
 	}
 }
 
+// changedInterval returns the time between heartbeats if it has changed since
+// the last one of the link, or zero.
+func (l *link) changedInterval() spokeclock.Millis {
+	interval := l.node.heartbeatInterval()
+	if interval == l.sentInterval {
+		return 0
+	}
+	l.sentInterval = interval
+	return interval
+}
+
 // changedUses returns what changed since the last heartbeat of the link.
-func (l *link) changedUses() map[string]spokebackend.Use {
+func (l *link) changedUses() Uses {
 	current := l.node.Registry.OwnUse()
-	changed := make(map[string]spokebackend.Use)
-	for name, use := range current {
-		if l.sentUses[name] != use {
-			changed[name] = use
+	changed := make(Uses)
+	for id, use := range current {
+		if l.sentUses[id] != use {
+			changed[id] = use
 		}
 	}
-	for name := range l.sentUses {
-		if _, still := current[name]; !still {
-			changed[name] = spokebackend.Use{}
+	for id := range l.sentUses {
+		if _, still := current[id]; !still {
+			changed[id] = spokebackend.Use{}
 		}
 	}
 	l.sentUses = current
 	return changed
 }
 
+// newSlots returns the servers' slots that this instance has read and the
+// peer has not been told.
+func (l *link) newSlots() Uses {
+	fresh := make(Uses)
+	for id, slots := range l.node.Registry.OwnSlots() {
+		if l.sentSlots[id] != slots {
+			fresh[id] = spokebackend.Use{All: slots}
+			l.sentSlots[id] = slots
+		}
+	}
+	return fresh
+}
+
 func (l *link) newLeaving() map[string]spokeclock.Millis {
 	fresh := make(map[string]spokeclock.Millis)
 	for name, left := range l.node.Registry.Leaving() {
@@ -157,20 +192,27 @@
 	return fresh
 }
 
-// somePlaces returns the summaries that changed and, in turn, a few that did
-// not, so that their age is known.
+// somePlaces returns the summaries that changed and, in turn, one that did
+// not, so that their age is known. Within a data centre nobody needs its own.
 func (l *link) somePlaces(revision spokeconfig.Revision) []spokemember.Place {
 	places := l.node.View.PlacesAt(revision)
+	own := l.node.View.Self.DataCentre
+	if l.target.DataCentre == own {
+		places = slices.DeleteFunc(places, func(p spokemember.Place) bool { return p.DataCentre == own })
+	}
+	if len(places) == 0 {
+		return nil
+	}
 	var chosen []spokemember.Place
+	l.turn = (l.turn + 1) % (placesBeats * len(places))
 	for i, place := range places {
 		old := l.sentPlaces[place.DataCentre]
 		changed := old.Revision != place.Revision || old.Instances != place.Instances
-		due := (i-l.turn+len(places))%len(places) < placesEach
-		if changed || due {
+		home := place.DataCentre == own
+		if changed || home || i*placesBeats == l.turn {
 			chosen = append(chosen, place)
 			l.sentPlaces[place.DataCentre] = place
 		}
 	}
-	l.turn = (l.turn + placesEach) % len(places)
 	return chosen
 }
--- a/spokepeer/message.go
+++ b/spokepeer/message.go
@@ -1,7 +1,6 @@
 package spokepeer
 
 import (
-	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclaim"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
@@ -31,10 +30,15 @@
 type Heartbeat struct {
 	// Revision is the configuration in force.
 	Revision spokeconfig.Revision `json:"revision"`
+	// Interval is the time to the next heartbeat, when it has changed.
+	Interval spokeclock.Millis `json:"interval_millis,omitempty"`
 	// Draining says that the instance shuts down.
 	Draining bool `json:"draining,omitempty"`
 	// Uses are the requests under way at backend servers, where changed.
-	Uses map[string]spokebackend.Use `json:"uses,omitempty"`
+	Uses Uses `json:"uses,omitempty"`
+	// Slots are the slots of backend servers that the peer watches, where
+	// changed, as their count of all.
+	Slots Uses `json:"slots,omitempty"`
 	// Leaving are backend servers that take no new work, with the time left.
 	Leaving map[string]spokeclock.Millis `json:"leaving,omitempty"`
 	// Places are summaries of data centres.
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -29,9 +29,16 @@
 )
 
 const (
-	defaultInterval = 500 * spokeclock.Millis(1)
-	linkInterval    = 250 * spokeclock.Millis(1)
-	callTimeout     = spokeclock.Second
+	linkInterval   = 250 * spokeclock.Millis(1)
+	forgetInterval = 500 * spokeclock.Millis(1)
+	callTimeout    = spokeclock.Second
+	// heartbeatBase is the time between heartbeats on each of a few links.
+	heartbeatBase = 500 * spokeclock.Millis(1)
+	// heartbeatLinks is the number of links up to which it holds.
+	heartbeatLinks = 6
+	// acceptPause is the wait after a failure to accept, as for want of file
+	// descriptors.
+	acceptPause = 50 * spokeclock.Millis(1)
 	// confirmWithin is how long a started instance waits to hear from a peer
 	// whether its configuration is the newest.
 	confirmWithin = 2 * spokeclock.Second
@@ -47,8 +54,6 @@
 	Registry *spokebackend.Registry
 	// AttemptFunc answers what this process knows of an attempt.
 	AttemptFunc func(attempt string) spokeclaim.State
-	// Interval is the time between heartbeats. Zero means 500 milliseconds.
-	Interval spokeclock.Millis
 	// Listener takes peers' links. Run closes it.
 	Listener net.Listener
 	// Log takes the log lines.
@@ -57,6 +62,7 @@
 	traffic  Traffic
 	draining atomic.Bool
 	greeted  atomic.Bool
+	wanted   atomic.Int64
 	started  spokeclock.Millis
 	pulling  atomic.Bool
 	mutex    sync.Mutex
@@ -68,9 +74,6 @@
 
 // Run keeps links until ctx ends, then says goodbye.
 func (n *Node) Run(ctx context.Context) {
-	if n.Interval == 0 {
-		n.Interval = defaultInterval
-	}
 	n.mutex.Lock()
 	n.links = make(map[string]*link)
 	n.started = n.View.Clock.Now()
@@ -80,11 +83,17 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { n.accept(ctx) })
 	duties.Go(func() { spokeclock.Every(ctx, linkInterval, func() { n.relink(ctx) }) })
-	duties.Go(func() { spokeclock.Every(ctx, n.Interval, n.forgetSilent) })
+	duties.Go(func() { spokeclock.Every(ctx, forgetInterval, n.forgetSilent) })
 	duties.Wait()
 	n.closeLinks()
 }
 
+// heartbeatInterval returns the time between two heartbeats on a link. It
+// grows with the number of links, so that the cost of all of them is bounded.
+func (n *Node) heartbeatInterval() spokeclock.Millis {
+	return max(heartbeatBase, heartbeatBase*spokeclock.Millis(n.wanted.Load())/heartbeatLinks)
+}
+
 // Confirmed reports whether a peer has said how new its configuration is, or
 // none did in time. Before that, a table that answers from the past could
 // bring back a configuration that is no longer in force.
@@ -115,9 +124,14 @@
 func (n *Node) accept(ctx context.Context) {
 	for {
 		conn, err := n.Listener.Accept()
-		if err != nil {
+		if ctx.Err() != nil {
 			return
 		}
+		if err != nil {
+			n.Log.Warn().Err(err).Msg("Link could not be accepted.")
+			_ = spokeclock.Sleep(ctx, acceptPause)
+			continue
+		}
 		n.serve(ctx, conn)
 	}
 }
@@ -125,7 +139,8 @@
 func (n *Node) serve(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: conn, traffic: &n.traffic}, jsonrpc2.VarintObjectCodec{})
 	s := &session{node: n}
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
+	handler := jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()
+	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(&n.Log))
 	context.AfterFunc(ctx, func() { _ = rpc.Close() })
 	return rpc
 }
@@ -136,6 +151,7 @@
 	for _, target := range n.View.Targets() {
 		wanted[target.Name] = target
 	}
+	n.wanted.Store(int64(len(wanted)))
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	for name, l := range n.links {
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -64,9 +64,12 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "no hello"}
 	}
 	n := s.node
-	n.View.Heartbeat(s.peer, h.Revision, h.Draining)
+	n.View.Heartbeat(s.peer, h.Revision, h.Draining, h.Interval)
 	n.View.TakePlaces(h.Places)
 	n.Registry.TakePeerUse(s.peer, h.Uses)
+	for id, slots := range h.Slots {
+		n.Registry.TakeSlots(id, slots.All)
+	}
 	for name, left := range h.Leaving {
 		n.Registry.Leave(name, spokebackend.Departure{Source: spokebackend.SourcePeer, Left: left})
 	}
--- a/spokestandin/cloud.go
+++ b/spokestandin/cloud.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
@@ -94,9 +99,9 @@
 	c.started = make(map[string]spokecloud.Instance)
 	c.ends = make(map[string]spokeclock.Millis)
 	service := http.NewServeMux()
-	service.Handle("GET /v1/instances", spokehttp.Handle(c.list("")))
+	service.HandleFunc("GET /v1/instances", c.list(""))
 	service.HandleFunc("GET /view/{viewer}/v1/instances", func(w http.ResponseWriter, r *http.Request) {
-		spokehttp.Handle(c.list(r.PathValue("viewer"))).ServeHTTP(w, r)
+		c.list(r.PathValue("viewer")).ServeHTTP(w, r)
 	})
 	service.Handle("GET /v1/notices", spokehttp.Handle(c.notices))
 	service.Handle("POST /v1/start", spokehttp.Handle(c.start))
@@ -205,16 +210,36 @@
 	return nil
 }
 
-func (c *Cloud) list(viewer string) func(context.Context, struct{}) (spokecloud.Instances, error) {
-	return func(context.Context, struct{}) (spokecloud.Instances, error) {
-		c.mutex.Lock()
-		defer c.mutex.Unlock()
-		instances := slices.Clone(c.seen())
-		for i := range instances {
-			instances[i].Address = c.addressFor(viewer, instances[i])
+// list serves the list to a viewer, with a tag by which an unchanged one is
+// not sent again.
+func (c *Cloud) list(viewer string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		text, err := json.Marshal(c.instancesFor(viewer))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(text), tagBase))
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
 		}
-		return spokecloud.Instances{Instances: instances}, nil
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(text)
+	}
+}
+
+const tagBase = 36
+
+func (c *Cloud) instancesFor(viewer string) spokecloud.Instances {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	instances := slices.Clone(c.seen())
+	for i := range instances {
+		instances[i].Address = c.addressFor(viewer, instances[i])
 	}
+	return spokecloud.Instances{Instances: instances}
 }
 
 func (c *Cloud) addressFor(viewer string, instance spokecloud.Instance) string {
--- a/spokewatch/watch.go
+++ b/spokewatch/watch.go
@@ -22,6 +22,7 @@
 	loadInterval   = 500 * spokeclock.Millis(1)
 	markInterval   = 100 * spokeclock.Millis(1)
 	loadTimeout    = 300 * spokeclock.Millis(1)
+	loadEach       = 250 * spokeclock.Millis(1)
 	loadReaders    = 8
 	// pollers is how many instances' worth of polling a data centre does.
 	pollers = 2
@@ -43,6 +44,8 @@
 	ChangedFunc func()
 	// Log takes the log lines.
 	Log zerolog.Logger
+
+	listed []spokecloud.Instance
 }
 
 // Run polls until ctx ends, with a goroutine for each duty.
@@ -51,7 +54,7 @@
 	duties.Go(func() { w.shared(ctx, configInterval, w.config) })
 	duties.Go(func() { w.shared(ctx, listInterval, w.list) })
 	duties.Go(func() { w.shared(ctx, noticeInterval, w.notices) })
-	duties.Go(func() { spokeclock.Every(ctx, loadInterval, func() { w.loads(ctx) }) })
+	duties.Go(func() { w.watchLoads(ctx) })
 	duties.Go(func() { spokeclock.Every(ctx, markInterval, w.marks) })
 	duties.Wait()
 }
@@ -81,13 +84,16 @@
 }
 
 func (w *Watch) list(ctx context.Context) {
-	instances, err := w.Cloud.List(ctx)
+	instances, changed, err := w.Cloud.List(ctx)
 	if err != nil {
 		w.Log.Debug().Err(err).Msg("List could not be read.")
 		return
 	}
-	w.Registry.Learn(instances)
-	w.View.Learn(instances)
+	if changed {
+		w.listed = instances
+	}
+	w.Registry.Learn(w.listed)
+	w.View.Learn(w.listed)
 }
 
 func (w *Watch) notices(ctx context.Context) {
@@ -126,19 +132,34 @@
 	}
 }
 
-// loads reads the reports of the servers that this instance watches.
-func (w *Watch) loads(ctx context.Context) {
+// watchLoads reads reports in rounds. Each server watched makes a round
+// longer, so that the number of reads a second is bounded.
+func (w *Watch) watchLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		watched := w.loads(ctx)
+		pause := max(loadInterval, loadEach*spokeclock.Millis(watched))
+		if spokeclock.Sleep(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+// loads reads the reports of the servers that this instance watches and
+// returns how many there are.
+func (w *Watch) loads(ctx context.Context) int {
 	snapshot := w.Keeper.Store.Current()
 	if snapshot == nil {
-		return
+		return 0
 	}
 	gate := make(chan struct{}, loadReaders)
 	var readers sync.WaitGroup
+	watched := 0
 	for _, name := range w.Registry.Names() {
 		instance, known := w.Registry.Lookup(name)
 		if !known || !w.reports(snapshot, instance) {
 			continue
 		}
+		watched++
 		gate <- struct{}{}
 		readers.Go(func() {
 			w.load(ctx, instance)
@@ -146,11 +167,15 @@
 		})
 	}
 	readers.Wait()
+	return watched
 }
 
 func (w *Watch) reports(snapshot *spokeconfig.Snapshot, instance spokecloud.Instance) bool {
 	service, ok := snapshot.Service(instance.Service)
-	return ok && service.Kind == spokeconfig.ServiceModel && w.View.Watches(instance.Name)
+	if !ok || service.Kind != spokeconfig.ServiceModel {
+		return false
+	}
+	return service.Routing == spokeconfig.RoutingLeastReported || w.View.Watches(instance.Name)
 }
 
 func (w *Watch) load(ctx context.Context, instance spokecloud.Instance) {
