serve: move KV caches in time when reclaim waves meet a full service

Cause: after two waves only one server was left; the choice held moving answers back until long ones had room in their share, for up to seconds, and the caches on the leaving servers were gone by then (traced: import failed 3 to 7 s after the end of the notice). An answer that had moved and still waited its turn was looked for under its new attempt, which had computed nothing. Ruled out: stalls; no attempt had been given up as stalled. Change: an answer that moves is not held back by the share of long ones; the source of a cache is the imported one while the new attempt brought no token; an attempt that waits for its first token is moved only to where there is room.

--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -117,12 +117,13 @@
 	for range portCount {
 		ports.next++
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(os.Getpid()+ports.next)%portCount)
-		listener, err := net.Listen("tcp", address)
+		// Listening to find out would leave the port taken for a moment if a
+		// process is being started meanwhile, which inherits the socket.
+		conn, err := net.Dial("tcp", address)
 		if err != nil {
-			continue
+			return address
 		}
-		_ = listener.Close()
-		return address
+		_ = conn.Close()
 	}
 	t.Fatal("no port is free")
 	return ""
--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -178,8 +178,11 @@
 		patience = resumePatience
 	}
 	until := g.server.Clock.Now() + patience
+	// An answer that moves is not held back by the share of long ones: its KV
+	// cache is gone by the time that there is room.
+	held := g.long && g.source == nil
 	for {
-		decision := g.server.choose(g.visitor, spokeroute.Request{Long: g.long, Avoid: g.avoid}, g.server.prefixes.Get(g.prefix))
+		decision := g.server.choose(g.visitor, spokeroute.Request{Long: held, Avoid: g.avoid}, g.server.prefixes.Get(g.prefix))
 		if decision.Server() != "" {
 			return decision.Server(), nil
 		}
@@ -226,11 +229,12 @@
 	switch {
 	case errors.Is(cause, errLeaving):
 		work.Leave()
-		g.source = &cacheSource{attempt: request.Attempt, address: work.Instance().Address}
+		g.source = g.sourceAfter(work, request)
 		g.server.Counters.resumed.Inc()
 		return verdictLeft
 	case errors.Is(cause, errStalled):
 		work.Fail()
+		g.source = g.sourceAfter(work, request)
 		g.server.Counters.resumed.Inc()
 		return verdictStalled
 	case ctx.Err() != nil:
@@ -244,6 +248,31 @@
 	}
 }
 
+// sourceAfter returns where the KV cache is after an interrupted attempt. One
+// that brought no token has computed nothing, but the server may hold the cache
+// that was imported for it.
+func (g *generation) sourceAfter(work *spokebackend.Work, request spokeengine.GenerateRequest) *cacheSource {
+	source := &cacheSource{attempt: request.Attempt, address: work.Instance().Address}
+	if len(g.delivered) == len(request.Resume) && request.MovedFrom != "" {
+		source.attempt = request.MovedFrom
+	}
+	return source
+}
+
+// hasBetterPlace reports whether another server could run the answer at once.
+func (g *generation) hasBetterPlace(current string) bool {
+	for _, c := range g.server.Registry.Candidates(g.visitor.service.Name, "") {
+		usable := !c.Leaving && !c.Suspended && c.Name != current
+		if usable && c.InFlight < c.Slots && c.Slowness < slowPlace {
+			return true
+		}
+	}
+	return false
+}
+
+// slowPlace is the slowness from which a server is no better place.
+const slowPlace = 2.5
+
 // read streams one attempt's tokens to the caller's side.
 func (g *generation) read(ctx context.Context, work *spokebackend.Work, request spokeengine.GenerateRequest, cancel context.CancelCauseFunc) error {
 	engine := spokeengine.Engine{URL: "http://" + work.Instance().Address, Client: g.server.Client}
@@ -256,6 +285,7 @@
 	err = stream.Read(func(event spokeengine.Event) error {
 		if event.Computed > 0 && len(request.Resume) > 0 {
 			g.server.Counters.recomputed.Add(event.Computed)
+			g.server.Log.Info().Int("tokens", event.Computed).Str("server", work.Instance().Name).Str("moved_from", request.MovedFrom).Msg("Tokens were computed again.")
 		}
 		if event.Finish != "" {
 			g.finish = event.Finish
--- a/spokeserve/watchdog.go
+++ b/spokeserve/watchdog.go
@@ -14,6 +14,7 @@
 	firstFactor  = 2
 	gapFactor    = 10
 	tickFactor   = 3
+	queueFactor  = 4
 	firstMinimum = 3 * spokeclock.Second
 	gapMinimum   = spokeclock.Second
 	tickMinimum  = 50 * spokeclock.Millis(1)
@@ -26,6 +27,7 @@
 	work       *spokebackend.Work
 	budget     *spokeretry.Budget
 	cancel     context.CancelCauseFunc
+	better     func() bool
 	firstLimit spokeclock.Millis
 	gapLimit   spokeclock.Millis
 	tick       spokeclock.Millis
@@ -45,6 +47,7 @@
 		work:       work,
 		budget:     &g.server.desk(service).budget,
 		cancel:     cancel,
+		better:     func() bool { return g.hasBetterPlace(work.Instance().Name) },
 		firstLimit: max(firstMinimum, firstFactor*service.FirstTokenTarget),
 		gapLimit:   max(gapMinimum, gapFactor*service.TokenGapTarget),
 		tick:       max(tickMinimum, tickFactor*service.TokenGapTarget),
@@ -87,6 +90,13 @@
 	d.timer.Stop()
 }
 
+// mayMove reports whether to give a silent attempt up. Before its first token
+// it may just be waiting its turn; where every other server is full too, a move
+// would only lose that turn.
+func (d *watchdog) mayMove(silence spokeclock.Millis) bool {
+	return !d.first || silence >= queueFactor*d.firstLimit || d.better()
+}
+
 // check notes a silent server, and gives the attempt up when it is silent for
 // too long.
 func (d *watchdog) check() {
@@ -106,7 +116,7 @@
 	if !d.first && silence >= d.tick {
 		d.work.Stalled()
 	}
-	if silence >= limit && d.budget.Allow() {
+	if silence >= limit && d.mayMove(silence) && d.budget.Allow() {
 		d.cancel(errStalled)
 		return
 	}
