--- a/spokeclaim/claims.go
+++ b/spokeclaim/claims.go
@@ -35,6 +35,9 @@
 	Gather spokeclock.Millis
 	// CountFunc, if set, is told of each transaction's rows.
 	CountFunc func(rows int)
+	// SharersFunc returns how many entry instances share the table's budget.
+	// Nil means one.
+	SharersFunc func() int
 	// Log takes the log lines.
 	Log zerolog.Logger
 
@@ -73,7 +76,10 @@
 		if c.CountFunc == nil {
 			c.CountFunc = func(int) {}
 		}
-		c.writer = newWriter(c.Table, c.Gather, c.CountFunc)
+		if c.SharersFunc == nil {
+			c.SharersFunc = func() int { return 1 }
+		}
+		c.writer = newWriter(c)
 		c.active = make(map[string]State)
 	})
 }
--- a/spokeclaim/writer.go
+++ b/spokeclaim/writer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"golang.org/x/time/rate"
+
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokering"
@@ -14,6 +16,11 @@
 	batchRows     = 64
 	writersCount  = 4
 	defaultGather = 4 * spokeclock.Millis(1)
+	// TableBudget is the transactions for each second that the claims of all
+	// entry instances together may take of the table service.
+	TableBudget = 300.0
+	// paceBurst is how many transactions may follow each other at once.
+	paceBurst = 8
 )
 
 // change is one conditional write of one row.
@@ -37,13 +44,32 @@
 	ring   *spokering.Ring[change]
 	gather spokeclock.Millis
 	count  func(rows int)
+	pace   *rate.Limiter
+	share  func() int
 }
 
-func newWriter(table *spoketable.Table, gather spokeclock.Millis, count func(int)) *writer {
+// newWriter returns a writer that keeps to its part of TableBudget.
+func newWriter(c *Claims) *writer {
+	gather := c.Gather
 	if gather == 0 {
 		gather = defaultGather
 	}
-	return &writer{table: table, ring: spokering.New[change](ringSize), gather: gather, count: count}
+	return &writer{
+		table:  c.Table,
+		ring:   spokering.New[change](ringSize),
+		gather: gather,
+		count:  c.CountFunc,
+		pace:   rate.NewLimiter(TableBudget, paceBurst),
+		share:  c.SharersFunc,
+	}
+}
+
+// wait holds a batch back until the writer's part of the table's budget allows
+// another transaction. Meanwhile the batch that follows grows.
+func (w *writer) wait(ctx context.Context) {
+	w.pace.SetLimit(rate.Limit(TableBudget / float64(max(1, w.share()))))
+	_ = w.pace.Wait(ctx)
+	_ = spokeclock.Sleep(ctx, w.gather)
 }
 
 // put hands a change in and waits for its result.
@@ -67,7 +93,7 @@
 		if !ok {
 			return
 		}
-		_ = spokeclock.Sleep(ctx, w.gather)
+		w.wait(ctx)
 		w.write(ctx, w.collect(first))
 	}
 }
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -157,7 +157,10 @@
 	e.keeper = &spokeconfig.Keeper{Table: table, Store: e.store}
 	e.view = &spokemember.View{Self: e.identity()}
 	e.registry = &spokebackend.Registry{DataCentre: e.Settings.DataCentre}
-	e.claims = &spokeclaim.Claims{Table: table, Objects: objects, Owner: e.Settings.Name, CountFunc: e.countRows(), Log: e.Logs.Part("claim")}
+	e.claims = &spokeclaim.Claims{
+		Table: table, Objects: objects, Owner: e.Settings.Name,
+		CountFunc: e.countRows(), SharersFunc: e.view.Sharers, Log: e.Logs.Part("claim"),
+	}
 	e.node = &spokepeer.Node{
 		View: e.view, Store: e.store, Registry: e.registry, AttemptFunc: e.claims.StateOf,
 		Listener: peers, Log: e.Logs.Part("peer"),
--- a/spokemeasure/capacity.go
+++ b/spokemeasure/capacity.go
@@ -49,6 +49,7 @@
 		{"peers", peers},
 		{"places", places},
 		{"near_design", nearDesign},
+		{"claims", claims},
 	}
 	found := false
 	for _, experiment := range experiments {
@@ -131,3 +132,23 @@
 	}
 	return emit(cost)
 }
+
+// designClaims is the claims for each second at one entry instance, taking a
+// tenth of all requests as not idempotent.
+const designClaims = designRate / 10
+
+// claims varies the rate of claims at one entry instance.
+func claims(ctx context.Context, emit func(any) error) error {
+	var perSecond []Point
+	for _, rate := range []float64{2, 20, 100, 400, 1000} {
+		cost, err := MeasureClaims(ctx, rate)
+		if err != nil {
+			return err
+		}
+		if err := emit(cost); err != nil {
+			return err
+		}
+		perSecond = append(perSecond, Point{Size: rate, Value: cost.PerSecond})
+	}
+	return emit(slope("transactions_per_second, up to 100 claims a second", "claims_per_second", perSecond[:3], designClaims))
+}
--- a/spokemeasure/peer.go
+++ b/spokemeasure/peer.go
@@ -56,6 +56,8 @@
 	Core float64 `json:"core"`
 	// Memory is in megabytes, the Go runtime's heap and stacks in use.
 	Memory float64 `json:"memory_megabytes"`
+	// Spread is how long a change of configuration took to reach every member.
+	Spread spokeclock.Millis `json:"config_spread_millis"`
 	// Heartbeats is the number sent each second.
 	Heartbeats float64 `json:"heartbeats_per_second"`
 }
@@ -94,6 +96,7 @@
 		return PeerCost{}, err
 	}
 	after, seconds := totals(members), time.Since(started).Seconds()
+	spread := spreadChange(ctx, members)
 	each := func(total float64) float64 { return total / seconds / float64(len(members)) }
 	return PeerCost{
 		Size:       size,
@@ -101,6 +104,7 @@
 		Received:   each(after.received-before.received) / kilobyte,
 		Core:       each(after.cpu - before.cpu),
 		Heartbeats: each(after.heartbeats - before.heartbeats),
+		Spread:     spread,
 		Memory:     usedMegabytes() / float64(len(members)),
 	}, nil
 }
@@ -112,6 +116,40 @@
 	return float64(stats.HeapInuse+stats.StackInuse) / (kilobyte * kilobyte)
 }
 
+const (
+	spreadLimit = 30 * spokeclock.Second
+	spreadPoll  = 5 * spokeclock.Millis(1)
+)
+
+// spreadChange puts a change in force at one member and returns how long it
+// took until it was at all, or the limit.
+func spreadChange(ctx context.Context, members []*member) spokeclock.Millis {
+	var clock spokeclock.Clock
+	started := clock.Now()
+	place := spokeconfig.Declaration{DataCentres: []spokeconfig.DataCentre{{Name: "changed", Region: "region"}}}
+	items := place.Items()
+	items[0].Revision = 1
+	if _, err := members[0].store.Merge(spokeconfig.Delta{To: 1, Items: items}); err != nil {
+		return spreadLimit
+	}
+	members[0].node.Wake()
+	for clock.Now()-started < spreadLimit {
+		if everywhere(members, 1) || spokeclock.Sleep(ctx, spreadPoll) != nil {
+			break
+		}
+	}
+	return clock.Now() - started
+}
+
+func everywhere(members []*member, revision spokeconfig.Revision) bool {
+	for _, m := range members {
+		if m.store.Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
 type peerTotals struct {
 	sent       float64
 	received   float64
--- a/spokewatch/watch.go
+++ b/spokewatch/watch.go
@@ -22,7 +22,7 @@
 	loadInterval   = 500 * spokeclock.Millis(1)
 	markInterval   = 100 * spokeclock.Millis(1)
 	loadTimeout    = 300 * spokeclock.Millis(1)
-	loadEach       = 250 * spokeclock.Millis(1)
+	loadEach       = 400 * spokeclock.Millis(1)
 	loadReaders    = 8
 	// pollers is how many instances' worth of polling a data centre does.
 	pollers = 2
