measure: compare the policies with their baselines in one run

Cause: nothing told whether the product is better than what its users would otherwise run. Change: mulberryload measure with four experiments on embedded deployments: head of line blocking, slowed servers, overload, recomputed tokens; switches for admission and for leaving slow servers; plots.

--- a/cmd/mulberryload/main.go
+++ b/cmd/mulberryload/main.go
@@ -23,6 +23,7 @@
 		}
 	}
 	add("run", "Carry out a plan against running entry instances", &runCommand{})
+	add("measure", "Measure the product against its baselines", &measureCommand{})
 	add("capacity", "Measure the slopes behind the capacity page", &capacityCommand{})
 	if _, err := parser.Parse(); err != nil {
 		fmt.Fprintln(os.Stderr, "mulberryload: "+err.Error())
--- a/spokeadmit/queue.go
+++ b/spokeadmit/queue.go
@@ -193,8 +193,11 @@
 	return q.admitted[a.Workspace]*b.Weight < q.admitted[b.Workspace]*a.Weight
 }
 
-// Release gives the place back.
+// Release gives the place back. A nil place has nothing to give back.
 func (a *Admission) Release() {
+	if a == nil {
+		return
+	}
 	q := a.queue
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -27,6 +27,8 @@
 	DataCentre string
 	// Clock tells the time. Nil means the real one.
 	Clock *spokeclock.Clock
+	// LongFunc, if set, is called when a long answer begins or ends here.
+	LongFunc func()
 
 	mutex   sync.Mutex
 	servers map[string]*server
--- a/spokebackend/work.go
+++ b/spokebackend/work.go
@@ -18,6 +18,20 @@
 // goroutine, when the server turns out to be leaving. It reports false when
 // the server is not known or is leaving already.
 func (r *Registry) Begin(name string, long bool, leaving func(Departure)) (*Work, bool) {
+	w, begun := r.begin(name, long, leaving)
+	if begun && long {
+		r.tellLong()
+	}
+	return w, begun
+}
+
+func (r *Registry) tellLong() {
+	if r.LongFunc != nil {
+		r.LongFunc()
+	}
+}
+
+func (r *Registry) begin(name string, long bool, leaving func(Departure)) (*Work, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, known := r.servers[name]
@@ -63,6 +77,19 @@
 	}
 }
 
+// Slowness returns the server's time for a token against the median of its
+// service; 1 is normal.
+func (w *Work) Slowness() float64 {
+	r := w.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, known := r.servers[w.instance.Name]
+	if !known {
+		return 1
+	}
+	return s.slowness(r.medianGap(w.instance.Service), r.Clock.Now())
+}
+
 // Succeed ends the attempt with a whole answer.
 func (w *Work) Succeed() {
 	w.end(func(s *server) { s.succeed() })
@@ -79,13 +106,20 @@
 }
 
 func (w *Work) end(verdict func(*server)) {
-	r := w.registry
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	if w.ended {
 		return
 	}
 	w.ended = true
+	w.settle(verdict)
+	if w.long {
+		w.registry.tellLong()
+	}
+}
+
+func (w *Work) settle(verdict func(*server)) {
+	r := w.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	delete(r.cancels[w.instance.Name], w)
 	s, known := r.servers[w.instance.Name]
 	if !known {
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -165,6 +165,7 @@
 		View: e.view, Store: e.store, Registry: e.registry, AttemptFunc: e.claims.StateOf,
 		Listener: peers, Log: e.Logs.Part("peer"),
 	}
+	e.registry.LongFunc = e.node.Nudge
 	e.watch = &spokewatch.Watch{
 		Cloud:  &spokecloud.Cloud{URL: e.Settings.CloudURL, ListURL: e.Settings.ListURL, Client: client},
 		Keeper: e.keeper, View: e.view, Registry: e.registry, Client: client,
@@ -208,7 +209,7 @@
 	off := func(name string) bool { return slices.Contains(e.Settings.SwitchOff, name) }
 	return spokeserve.Switches{
 		NoResume: off("resume"), NoClaims: off("claims"), NoMove: off("move"),
-		NoCacheMove: off("cache_move"), NoPriority: off("priority"),
+		NoCacheMove: off("cache_move"), NoPriority: off("priority"), NoAdmission: off("admission"), NoSlowMove: off("slow_move"),
 	}
 }
 
--- a/spokeentry/settings.go
+++ b/spokeentry/settings.go
@@ -52,7 +52,7 @@
 	Unready         spokeclock.Millis `long:"unready-millis" env:"MULBERRYSPOKE_UNREADY_MILLIS" description:"Time from unready to refusing requests when shutting down" default:"1000"`
 	Grace           spokeclock.Millis `long:"grace-millis" env:"MULBERRYSPOKE_GRACE_MILLIS" description:"Time for requests under way when shutting down" default:"120000"`
 	MaxBody         int64             `long:"max-body-bytes" env:"MULBERRYSPOKE_MAX_BODY_BYTES" description:"Largest request body" default:"1048576"`
-	SwitchOff       []string          `long:"switch-off" env:"MULBERRYSPOKE_SWITCH_OFF" env-delim:"," description:"Mechanism to turn off, for tests and measurements: resume, claims, move, cache_move, priority"`
+	SwitchOff       []string          `long:"switch-off" env:"MULBERRYSPOKE_SWITCH_OFF" env-delim:"," description:"Mechanism to turn off, for tests and measurements: resume, claims, move, cache_move, priority, admission, slow_move"`
 }
 
 // Check returns an error of kind KindSetting that names the first flag with a
@@ -83,7 +83,7 @@
 		c.that(err == nil, "peer", peer, "name@data-centre@ip:port")
 	}
 	for _, name := range s.SwitchOff {
-		c.that(slices.Contains([]string{"resume", "claims", "move", "cache_move", "priority"}, name), "switch-off", name, "resume, claims, move, cache_move, priority")
+		c.that(slices.Contains([]string{"resume", "claims", "move", "cache_move", "priority", "admission", "slow_move"}, name), "switch-off", name, "resume, claims, move, cache_move, priority, admission, slow_move")
 	}
 	return c.err
 }
--- /dev/null
+++ b/spokemeasure/measure.go
@@ -0,0 +1,183 @@
+package spokemeasure
+
+import (
+	"context"
+	"sync"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokeload"
+)
+
+// Figure is one measured figure of one variant, over all seeds.
+type Figure struct {
+	// Experiment names the experiment.
+	Experiment string `json:"experiment"`
+	// Variant names the policy or what was turned off.
+	Variant string `json:"variant"`
+	// Name names the figure, with its unit.
+	Name string `json:"name"`
+	// Spread is the figure over the seeds.
+	Spread Spread `json:"spread"`
+}
+
+// sample is one figure of one run.
+type sample struct {
+	name  string
+	value float64
+}
+
+// experiment runs one variant with one seed.
+type experiment struct {
+	name     string
+	variants func() []variant
+	run      func(ctx context.Context, v variant, seed uint64) ([]sample, error)
+}
+
+const (
+	atOnce     = 3
+	steadyTime = 10 * spokeclock.Second
+	healthyPad = 3 * spokeclock.Second
+)
+
+func experiments() []experiment {
+	return []experiment{
+		{name: "head_of_line", variants: baselines, run: headOfLine},
+		{name: "slowed_servers", variants: baselines, run: slowedServers},
+		{name: "overload", variants: overloadVariants, run: overload},
+		{name: "recomputed_tokens", variants: reclaimVariants, run: recomputed},
+	}
+}
+
+// Measure carries out one experiment, or all, over the seeds and hands each
+// figure on. It returns an error of kind KindUnknownExperiment.
+func Measure(ctx context.Context, only string, seeds []uint64, emit func(Figure) error) error {
+	found := false
+	for _, e := range experiments() {
+		if only != "" && only != e.name {
+			continue
+		}
+		found = true
+		if err := e.all(ctx, seeds, emit); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return spokeerror.Newf("measure", KindUnknownExperiment, "%q", only)
+	}
+	return nil
+}
+
+// all runs every variant with every seed, a few at once.
+func (e experiment) all(ctx context.Context, seeds []uint64, emit func(Figure) error) error {
+	for _, v := range e.variants() {
+		values, order, err := e.samples(ctx, v, seeds)
+		if err != nil {
+			return err
+		}
+		for _, name := range order {
+			if err := emit(Figure{Experiment: e.name, Variant: v.name, Name: name, Spread: SpreadOf(values[name])}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (e experiment) samples(ctx context.Context, v variant, seeds []uint64) (map[string][]float64, []string, error) {
+	var mutex sync.Mutex
+	var runs sync.WaitGroup
+	var failed error
+	values := make(map[string][]float64)
+	var order []string
+	gate := make(chan struct{}, atOnce)
+	for _, seed := range seeds {
+		gate <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-gate }()
+			list, err := e.run(ctx, v, seed)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil {
+				failed = err
+				return
+			}
+			for _, s := range list {
+				if _, known := values[s.name]; !known {
+					order = append(order, s.name)
+				}
+				values[s.name] = append(values[s.name], s.value)
+			}
+		})
+	}
+	runs.Wait()
+	return values, order, failed
+}
+
+func ratio(a, b float64) float64 {
+	return a / max(1, b)
+}
+
+// headOfLine compares quick questions with long plans present to those
+// without, and plans with quick questions to those without.
+func headOfLine(ctx context.Context, v variant, seed uint64) ([]sample, error) {
+	b, err := startBench(ctx, v.setup(1, 4))
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	const quickRate, planRate = 36, 5
+	alone, err := b.load(ctx, seed, []spokeload.Kind{quick(1)}, spokeload.Phase{Rate: quickRate, Length: steadyTime})
+	if err != nil {
+		return nil, err
+	}
+	plans, err := b.load(ctx, seed, []spokeload.Kind{plan(1)}, spokeload.Phase{Rate: planRate, Length: steadyTime})
+	if err != nil {
+		return nil, err
+	}
+	both, err := b.load(ctx, seed, []spokeload.Kind{quick(quickRate), plan(planRate)}, spokeload.Phase{Rate: quickRate + planRate, Length: steadyTime})
+	if err != nil {
+		return nil, err
+	}
+	with, without := both.Group("quick", 0), alone.Group("quick", 0)
+	return []sample{
+		{"quick first token p99 alone, ms", float64(without.First.P99)},
+		{"quick first token p99 with plans, ms", float64(with.First.P99)},
+		{"ratio with plans over alone", ratio(float64(with.First.P99), float64(without.First.P99))},
+		{"plan whole p50 ratio with quick over alone", ratio(float64(both.Group("plan", 0).Whole.P50), float64(plans.Group("plan", 0).Whole.P50))},
+		{"requests not answered whole", float64(both.Sent() - both.Count(spokeload.VerdictWhole))},
+	}, nil
+}
+
+// slowedServers slows a quarter of the servers ten times for a while.
+func slowedServers(ctx context.Context, v variant, seed uint64) ([]sample, error) {
+	b, err := startBench(ctx, v.setup(1, 8))
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	const rate, slowed, factor = 100, 2, 10
+	healthy, err := b.load(ctx, seed, []spokeload.Kind{quick(1)}, spokeload.Phase{Rate: rate, Length: steadyTime})
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = spokeclock.Sleep(ctx, healthyPad)
+		b.slow(slowed, factor)
+		_ = spokeclock.Sleep(ctx, steadyTime-2*healthyPad)
+		b.slow(slowed, 1)
+	}()
+	hit, err := b.load(ctx, seed+1, []spokeload.Kind{quick(1)}, spokeload.Phase{Rate: rate, Length: steadyTime})
+	if err != nil {
+		return nil, err
+	}
+	with, without := hit.Group("quick", 0), healthy.Group("quick", 0)
+	return []sample{
+		{"first token p99 healthy, ms", float64(without.First.P99)},
+		{"first token p99 slowed, ms", float64(with.First.P99)},
+		{"whole p99 healthy, ms", float64(without.Whole.P99)},
+		{"whole p99 slowed, ms", float64(with.Whole.P99)},
+		{"ratio of whole p99 slowed over healthy", ratio(float64(with.Whole.P99), float64(without.Whole.P99))},
+		{"requests not answered whole", float64(hit.Sent() - hit.Count(spokeload.VerdictWhole))},
+	}, nil
+}
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -18,6 +18,8 @@
 	redialStart = 100 * spokeclock.Millis(1)
 	redialLimit = 2 * spokeclock.Second
 	turnStart   = 1000
+	// wakeSpacing is the least time between two heartbeats.
+	wakeSpacing = 40 * spokeclock.Millis(1)
 	// placesBeats is the number of heartbeats for each unchanged summary.
 	placesBeats = 2
 	dialTimeout = 700 * spokeclock.Millis(1)
@@ -102,23 +104,16 @@
 	return true
 }
 
-// beat sends heartbeats at the interval and whenever woken.
+// beat sends heartbeats at the interval and, a little apart, whenever woken.
 func (l *link) beat(ctx context.Context, rpc *jsonrpc2.Conn) {
-	broken := rpc.DisconnectNotify()
 	for {
 		if rpc.Notify(context.Background(), methodHeartbeat, l.heartbeat()) != nil {
 			return
 		}
 		l.node.traffic.messages.Add(1)
-		pause, cancel := context.WithTimeout(ctx, l.node.heartbeatInterval().Duration())
-		select {
-		case <-broken:
-			cancel()
+		if !l.awaitBeat(ctx, rpc) {
 			return
-		case <-l.wakes:
-		case <-pause.Done():
 		}
-		cancel()
 		if ctx.Err() != nil {
 			_ = rpc.Notify(context.Background(), methodGoodbye, struct{}{})
 			return
@@ -126,6 +121,21 @@
 	}
 }
 
+// awaitBeat waits for the next heartbeat and reports false when the link has
+// broken.
+func (l *link) awaitBeat(ctx context.Context, rpc *jsonrpc2.Conn) bool {
+	pause, cancel := context.WithTimeout(ctx, l.node.heartbeatInterval().Duration())
+	defer cancel()
+	_ = spokeclock.Sleep(pause, wakeSpacing)
+	select {
+	case <-rpc.DisconnectNotify():
+		return false
+	case <-l.wakes:
+	case <-pause.Done():
+	}
+	return true
+}
+
 func (l *link) heartbeat() Heartbeat {
 	revision := l.node.Store.Revision()
 	return Heartbeat{
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -36,6 +36,8 @@
 	heartbeatBase = 500 * spokeclock.Millis(1)
 	// heartbeatLinks is the number of links up to which it holds.
 	heartbeatLinks = 6
+	// nudgeLinks is the number of links up to which a nudge is worth its cost.
+	nudgeLinks = 8
 	// acceptPause is the wait after a failure to accept, as for want of file
 	// descriptors.
 	acceptPause = 50 * spokeclock.Millis(1)
@@ -121,6 +123,14 @@
 	}
 }
 
+// Nudge sends a heartbeat on every link soon, if there are only a few, so that
+// peers hear of a long answer before they choose a server for another.
+func (n *Node) Nudge() {
+	if n.wanted.Load() <= nudgeLinks {
+		n.Wake()
+	}
+}
+
 func (n *Node) accept(ctx context.Context) {
 	for {
 		conn, err := n.Listener.Accept()
--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -30,6 +30,7 @@
 var (
 	errLeaving = errors.New("the backend server is leaving")
 	errStalled = errors.New("the backend server has stalled")
+	errSlow    = errors.New("the backend server has slowed down")
 )
 
 // generation is one answer under way. A goroutine of its own drives it over as
@@ -72,6 +73,7 @@
 	verdictLeft
 	verdictFailed
 	verdictStalled
+	verdictSlow
 	verdictNotBegun
 	verdictGone
 )
@@ -140,7 +142,7 @@
 		case verdictGone:
 			return g.outOfTime(ctx)
 		case verdictLeft, verdictNotBegun:
-		case verdictStalled:
+		case verdictStalled, verdictSlow:
 			g.avoid = append(g.avoid, target)
 		case verdictFailed:
 			g.avoid = append(g.avoid, target)
@@ -232,6 +234,11 @@
 		g.source = g.sourceAfter(work, request)
 		g.server.Counters.resumed.Inc()
 		return verdictLeft
+	case errors.Is(cause, errSlow):
+		work.Leave()
+		g.source = g.sourceAfter(work, request)
+		g.server.Counters.resumed.Inc()
+		return verdictSlow
 	case errors.Is(cause, errStalled):
 		work.Fail()
 		g.source = g.sourceAfter(work, request)
@@ -291,12 +298,37 @@
 			g.finish = event.Finish
 			return nil
 		}
+		if g.shouldLeave(work, event) {
+			cancel(errSlow)
+		}
 		return g.take(ctx, dog, event.Token)
 	})
 	g.server.Counters.foreign.Add(stream.Foreign())
 	return err
 }
 
+// shouldLeave reports whether the server has slowed down so much that the rest
+// of the answer, which is worth the move, comes sooner from another.
+func (g *generation) shouldLeave(work *spokebackend.Work, event spokeengine.Event) bool {
+	rest := g.request.MaxTokens - event.Index
+	if g.server.Switches.NoSlowMove || rest < worthMoving || event.Index%slowCheckEvery != 0 {
+		return false
+	}
+	if work.Slowness() < slowEnough || !g.hasBetterPlace(work.Instance().Name) {
+		return false
+	}
+	return g.server.desk(g.visitor.service).budget.Allow()
+}
+
+const (
+	// slowEnough is the slowness from which an answer leaves its server.
+	slowEnough = 4.0
+	// worthMoving is the number of tokens left for which it does.
+	worthMoving = 6
+	// slowCheckEvery is the number of tokens for each look at the slowness.
+	slowCheckEvery = 2
+)
+
 // take passes a token on.
 func (g *generation) take(ctx context.Context, dog *watchdog, token string) error {
 	dog.fed()
--- a/spokeserve/server.go
+++ b/spokeserve/server.go
@@ -84,6 +84,10 @@
 	NoCacheMove bool
 	// NoPriority gives quick requests no priority over long ones.
 	NoPriority bool
+	// NoSlowMove leaves answers on servers that have slowed down.
+	NoSlowMove bool
+	// NoAdmission sends every request on at once.
+	NoAdmission bool
 }
 
 // desk is what belongs to one service.
@@ -191,7 +195,8 @@
 	return refuse(KindLimited, verdict.After(), "the workspace is over its "+verdict.Limit())
 }
 
-// admit waits for a place at the service's backend servers.
+// admit waits for a place at the service's backend servers. The place is nil
+// when admission is turned off.
 func (s *Server) admit(ctx context.Context, v visitor, long bool) (*spokeadmit.Admission, *types.Refusal) {
 	ticket := spokeadmit.Ticket{
 		Workspace: v.workspace.Name,
@@ -199,6 +204,9 @@
 		Long:      long && !s.Switches.NoPriority,
 		MaxWait:   maxWait(v.service, long),
 	}
+	if s.Switches.NoAdmission {
+		return nil, nil
+	}
 	queue := s.desk(v.service).queue
 	admission, err := queue.Admit(ctx, ticket)
 	if err != nil {
--- a/spokewatch/watch.go
+++ b/spokewatch/watch.go
@@ -138,12 +138,30 @@
 	for ctx.Err() == nil {
 		watched := w.loads(ctx)
 		pause := max(loadInterval, loadEach*spokeclock.Millis(watched))
+		if w.leastReported() {
+			pause = loadInterval
+		}
 		if spokeclock.Sleep(ctx, pause) != nil {
 			return
 		}
 	}
 }
 
+// leastReported reports whether a service is routed by reports alone. That
+// baseline is given all the reports it could have.
+func (w *Watch) leastReported() bool {
+	snapshot := w.Keeper.Store.Current()
+	if snapshot == nil {
+		return false
+	}
+	for _, service := range snapshot.Declaration().Services {
+		if service.Routing == spokeconfig.RoutingLeastReported {
+			return true
+		}
+	}
+	return false
+}
+
 // loads reads the reports of the servers that this instance watches and
 // returns how many there are.
 func (w *Watch) loads(ctx context.Context) int {
