--- /dev/null
+++ b/spokeconfig/config_test.go
@@ -0,0 +1,81 @@
+package spokeconfig_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+)
+
+type declarationScript struct {
+	Base  string `yaml:"base"`
+	Cases []struct {
+		Name    string `yaml:"name"`
+		Replace string `yaml:"replace"`
+		With    string `yaml:"with"`
+		Error   string `yaml:"error"`
+	} `yaml:"cases"`
+}
+
+// TestDeclarations checks each broken declaration for an error that names the
+// field.
+func TestDeclarations(t *testing.T) {
+	text, err := os.ReadFile("testdata/declarations.yaml")
+	require.NoError(t, err)
+	var script declarationScript
+	require.NoError(t, yaml.UnmarshalWithOptions(text, &script, yaml.DisallowUnknownField()))
+	for _, c := range script.Cases {
+		t.Run(c.Name, func(t *testing.T) {
+			if c.Replace != "" {
+				require.Contains(t, script.Base, c.Replace)
+			}
+			_, err := spokeconfig.Parse([]byte(strings.Replace(script.Base, c.Replace, c.With, 1)))
+			if c.Error == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, c.Error)
+			require.Equal(t, spokeconfig.KindInvalid, spokeerror.KindOf[spokeconfig.Kind](err))
+		})
+	}
+}
+
+// TestMergeNeverReverts merges deltas in any order, some twice, and checks that
+// the revision never falls and that equal revisions hold equal items.
+func TestMergeNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var source spokeconfig.Store
+		seen := map[spokeconfig.Revision]int{0: 0}
+		var deltas []spokeconfig.Delta
+		for revision := range rapid.IntRange(1, 12).Draw(t, "changes") {
+			next := spokeconfig.Revision(revision + 1)
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			item := spokeconfig.Item{Key: "data_centre/" + name, Revision: next}
+			if rapid.Bool().Draw(t, "kept") {
+				item.Value = []byte(`{"name":"` + name + `","region":"r"}`)
+			}
+			_, err := source.Merge(spokeconfig.Delta{From: next - 1, To: next, Items: []spokeconfig.Item{item}})
+			require.NoError(t, err)
+			seen[next] = len(source.Items())
+			from := spokeconfig.Revision(rapid.IntRange(0, revision).Draw(t, "from"))
+			deltas = append(deltas, source.Since(from))
+		}
+		var store spokeconfig.Store
+		for range rapid.IntRange(1, 40).Draw(t, "merges") {
+			before := store.Revision()
+			delta := rapid.SampledFrom(deltas).Draw(t, "delta")
+			_, err := store.Merge(delta)
+			if err != nil {
+				require.Equal(t, spokeconfig.KindGap, spokeerror.KindOf[spokeconfig.Kind](err))
+			}
+			require.GreaterOrEqual(t, store.Revision(), before)
+			require.Len(t, store.Items(), seen[store.Revision()])
+		}
+	})
+}
--- /dev/null
+++ b/spokeentry/settings_test.go
@@ -0,0 +1,66 @@
+package spokeentry_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokeentry"
+)
+
+type settingCase struct {
+	Name  string            `yaml:"name"`
+	Set   map[string]string `yaml:"set"`
+	Error string            `yaml:"error"`
+}
+
+// TestSettings checks that a setting that is not allowed is named with its
+// value and what is.
+func TestSettings(t *testing.T) {
+	text, err := os.ReadFile("testdata/settings.yaml")
+	require.NoError(t, err)
+	var cases []settingCase
+	require.NoError(t, yaml.Unmarshal(text, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			settings := goodSettings()
+			for name, value := range c.Set {
+				set(t, &settings, name, value)
+			}
+			err := settings.Check()
+			if c.Error == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, c.Error)
+		})
+	}
+}
+
+func goodSettings() spokeentry.Settings {
+	return spokeentry.Settings{
+		Name: "entry-1", DataCentre: "a", CallerAddress: "127.0.0.1:1", OperatorAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
+		TableURL: "http://127.0.0.1:4", ObjectURL: "http://127.0.0.1:5", CloudURL: "http://127.0.0.1:6", ListURL: "http://127.0.0.1:6",
+		OperatorKey: strings.Repeat("ab", 32), LogLevel: "info", Trace: "none", MaxBody: 1,
+	}
+}
+
+func set(t *testing.T, s *spokeentry.Settings, name, value string) {
+	t.Helper()
+	fields := map[string]*string{
+		"name": &s.Name, "data_centre": &s.DataCentre, "caller_address": &s.CallerAddress, "operator_address": &s.OperatorAddress,
+		"peer_address": &s.PeerAddress, "table_url": &s.TableURL, "operator_key": &s.OperatorKey, "log_level": &s.LogLevel, "trace": &s.Trace,
+	}
+	switch name {
+	case "peer":
+		s.Peers = []string{value}
+	case "switch_off":
+		s.SwitchOff = []string{value}
+	default:
+		require.Contains(t, fields, name)
+		*fields[name] = value
+	}
+}
--- /dev/null
+++ b/spokelease/lease_test.go
@@ -0,0 +1,95 @@
+package spokelease_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokelease"
+	"mulberryspoke.example/mulberryspoke/spokestandin"
+	"mulberryspoke.example/mulberryspoke/spoketable"
+)
+
+type leaseCase struct {
+	Name  string `yaml:"name"`
+	Steps []struct {
+		Note       string            `yaml:"note"`
+		Advance    spokeclock.Millis `yaml:"advance_millis"`
+		TableDown  bool              `yaml:"table_down"`
+		TableUp    bool              `yaml:"table_up"`
+		LoseAnswer bool              `yaml:"lose_answer"`
+		Act        string            `yaml:"act"`
+		Release    string            `yaml:"release"`
+		Held       []string          `yaml:"held"`
+		Fence      spokelease.Fence  `yaml:"fence"`
+	} `yaml:"steps"`
+}
+
+// TestLeases plays each script on a stand-in of the table service with a clock
+// that the script moves.
+func TestLeases(t *testing.T) {
+	text, err := os.ReadFile("testdata/leases.yaml")
+	require.NoError(t, err)
+	var cases []leaseCase
+	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.DisallowUnknownField()))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) { c.play(t) })
+	}
+}
+
+func (c leaseCase) play(t *testing.T) {
+	standin := &spokestandin.Table{}
+	server := httptest.NewServer(standin.Handler())
+	defer server.Close()
+	clock := &spokeclock.Manual{}
+	clock.Advance(1)
+	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient()}
+	leases := make(map[string]*spokelease.Lease)
+	for _, name := range []string{"a", "b"} {
+		leases[name] = &spokelease.Lease{
+			Table: table, Clock: clock.Clock(), Name: "duty", Holder: name, Term: 6000, Delivery: 2000, Log: zerolog.Nop(),
+		}
+	}
+	set := func(faults spokestandin.Faults) {
+		_, err := spokehttp.Call[struct{}](context.Background(), table.Client, server.URL+"/control", spokestandin.TableFaults{Faults: faults})
+		require.NoError(t, err)
+	}
+	for i, s := range c.Steps {
+		clock.Advance(s.Advance)
+		if s.TableDown || s.TableUp {
+			set(spokestandin.Faults{Down: s.TableDown})
+		}
+		if s.LoseAnswer {
+			set(spokestandin.Faults{LoseAnswers: 1, Path: "/v1/transact"})
+		}
+		if s.Act != "" {
+			leases[s.Act].Step(context.Background())
+		}
+		if s.Release != "" {
+			leases[s.Release].Release()
+		}
+		for name, lease := range leases {
+			fence, held := lease.Held()
+			require.Equal(t, contains(s.Held, name), held, "step %d: %s", i+1, name)
+			if held && s.Fence > 0 {
+				require.Equal(t, s.Fence, fence, "step %d", i+1)
+			}
+		}
+	}
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/spokeroute/policy_test.go
@@ -0,0 +1,68 @@
+package spokeroute_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeroute"
+)
+
+type choiceCase struct {
+	Name       string              `yaml:"name"`
+	Routing    spokeconfig.Routing `yaml:"routing"`
+	Long       bool                `yaml:"long"`
+	Avoid      []string            `yaml:"avoid"`
+	Candidates []struct {
+		Name      string  `yaml:"name"`
+		Remote    bool    `yaml:"remote"`
+		Leaving   bool    `yaml:"leaving"`
+		Suspended bool    `yaml:"suspended"`
+		InFlight  int     `yaml:"in_flight"`
+		Long      int     `yaml:"long"`
+		Reported  int     `yaml:"reported"`
+		Slowness  float64 `yaml:"slowness"`
+		Trust     float64 `yaml:"trust"`
+		Cached    bool    `yaml:"cached"`
+	} `yaml:"candidates"`
+	Server string            `yaml:"server"`
+	Reason spokeroute.Reason `yaml:"reason"`
+}
+
+func (c choiceCase) offered() []spokeroute.Candidate {
+	var offered []spokeroute.Candidate
+	for _, given := range c.Candidates {
+		candidate := spokeroute.Candidate{
+			Name: given.Name, Local: !given.Remote, Leaving: given.Leaving, Suspended: given.Suspended, Slots: 8,
+			InFlight: given.InFlight, Long: given.Long, Reported: given.Reported, Slowness: given.Slowness, Trust: given.Trust, Cached: given.Cached,
+		}
+		if candidate.Trust == 0 {
+			candidate.Trust = 1
+		}
+		offered = append(offered, candidate)
+	}
+	return offered
+}
+
+// TestChoices makes each choice with many seeds, since ties are broken at
+// random.
+func TestChoices(t *testing.T) {
+	text, err := os.ReadFile("testdata/choices.yaml")
+	require.NoError(t, err)
+	var cases []choiceCase
+	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.DisallowUnknownField()))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				policy := spokeroute.Policy{Routing: c.Routing, Random: rand.New(rand.NewPCG(seed, seed))}
+				decision := policy.Choose(c.offered(), spokeroute.Request{Long: c.Long, Avoid: c.Avoid})
+				require.Equal(t, c.Server, decision.Server())
+				require.Equal(t, c.Reason, decision.Reason())
+			}
+		})
+	}
+}
