fleet: plan, start, stop and order instances under a lease

Cause: nothing replaced reclaimed instances or weighed what they cost, and no duty gave orders to engines. Change: a plan that does no input or output (enough for the demand with headroom, and for the demand alone once the place with the most reclaimable instances has lost them); a manager that carries it out under a lease with a fencing number, asks for a start under the same token until it is certain, and checks the lease right before each order; services opt in by being declared as managed; operators can ask who holds which duty. Ruled out: a plan for each data centre by itself, since survival is a matter of how instances are spread over all of them. Conclusion: the cost has still to be measured.

--- a/integration/runner_test.go
+++ b/integration/runner_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeengine"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeload"
 	"mulberryspoke.example/mulberryspoke/spokeoperate"
@@ -173,6 +174,8 @@
 		r.await(where, s.Await)
 	case s.Runs != nil:
 		r.checkRuns(where, s.Runs)
+	case s.Orders != nil:
+		r.checkOrders(where, s.Orders)
 	case s.Arrival != nil:
 		r.checkArrival(where, s.Arrival)
 	default:
@@ -185,6 +188,10 @@
 }
 
 func (r *runner) signal(where string, s *signalStep) {
+	if s.HolderOf != "" {
+		r.processes["holder"] = r.processes[r.holder(s.HolderOf)]
+		s.Process = "holder"
+	}
 	p, ok := r.processes[s.Process]
 	require.True(r.t, ok, "there is no process %q", s.Process)
 	signal, ok := signals[s.Signal]
@@ -197,6 +204,59 @@
 	}
 }
 
+// holder returns the entry instance that holds a duty, waiting for one.
+func (r *runner) holder(duty string) string {
+	found := ""
+	require.Eventually(r.t, func() bool {
+		for _, entry := range r.entries {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			table, err := r.operator(entry.name).Ask(ctx, "duties where duty="+duty+" and held_here=true")
+			cancel()
+			if err == nil && len(table.Rows) == 1 {
+				found = entry.name
+				return true
+			}
+		}
+		return false
+	}, patience, 50*time.Millisecond, "nobody holds %s", duty)
+	return found
+}
+
+// checkOrders looks at the orders that live engines took.
+func (r *runner) checkOrders(where string, s *ordersStep) {
+	if s.Late != "" {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		engine := spokeengine.Engine{URL: "http://" + r.serverAddress(s.Late), Client: r.client}
+		err := engine.Give(ctx, spokeengine.Order{Action: "load_model", Name: "old", Fence: 1})
+		if refused := err != nil; refused != r.shape.ChecksOrders {
+			r.violated("%s: a late order was answered with %v", where, err)
+		}
+		return
+	}
+	for _, server := range append(slices.Clone(r.servers), r.spares...) {
+		if server.service != "assistant" {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		use, err := spokehttp.Get[spokestandin.EngineUse](ctx, r.client, "http://"+server.address+"/use")
+		cancel()
+		if err != nil || len(use.Orders) == 0 {
+			continue
+		}
+		last := int64(0)
+		for _, order := range use.Orders {
+			if order.Fence < last {
+				r.violated("%s: %s took an order with fencing number %d after %d", where, server.name, order.Fence, last)
+			}
+			last = order.Fence
+		}
+		if last < s.LastFence {
+			r.violated("%s: %s took no order with fencing number %d", where, server.name, s.LastFence)
+		}
+	}
+}
+
 func (r *runner) restart(name string) {
 	p := r.processes[name]
 	p.signal(syscall.SIGKILL)
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -48,6 +48,11 @@
 	ChecksOrders    bool              `yaml:"checks_orders"`
 	Routing         string            `yaml:"routing"`
 	Unready         spokeclock.Millis `yaml:"unready_millis"`
+	// Spares is the number of engines in each data centre that the cloud API
+	// can start.
+	Spares int `yaml:"spares"`
+	// Managed lets the system start and stop engines, with so many at least.
+	Managed int `yaml:"managed_least_instances"`
 }
 
 // step does one thing. Exactly one of its fields besides Note is set.
@@ -71,6 +76,7 @@
 	Runs    *runsStep             `yaml:"runs"`
 	Arrival *arrivalStep          `yaml:"last_arrival"`
 	Reclaim *spokestandin.Reclaim `yaml:"reclaim"`
+	Orders  *ordersStep           `yaml:"orders"`
 }
 
 type proxyStep struct {
@@ -99,6 +105,8 @@
 type signalStep struct {
 	Process string `yaml:"process"`
 	Signal  string `yaml:"signal"`
+	// HolderOf names a duty instead of a process, which becomes "holder".
+	HolderOf string `yaml:"holder_of"`
 	// ExitsWithin waits for the process to end.
 	ExitsWithin spokeclock.Millis `yaml:"exits_within_millis"`
 	ExitCode    int               `yaml:"exit_code"`
@@ -172,6 +180,14 @@
 	Quiet  spokeclock.Millis `yaml:"quiet_millis"`
 }
 
+// ordersStep checks the orders that every live engine took: fencing numbers
+// never fall, and the last is at least this one.
+type ordersStep struct {
+	LastFence int64 `yaml:"last_fence_at_least"`
+	// Late sends an order with the fencing number 1, as a late delivery would.
+	Late string `yaml:"late"`
+}
+
 type expectation struct {
 	// Verdicts bound how often each verdict came, over all loads.
 	Verdicts map[spokeload.Verdict]bound `yaml:"verdicts"`
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -18,6 +18,8 @@
 	SourceNotice Source = "notice"
 	// SourcePeer is another entry instance.
 	SourcePeer Source = "peer"
+	// SourcePlan is the plan of the fleet.
+	SourcePlan Source = "plan"
 	// SourceDrain is an operator's mark that lets work under way end.
 	SourceDrain Source = "drain"
 	// SourceStop is an operator's mark that moves work under way.
--- a/spokeconfig/declaration.go
+++ b/spokeconfig/declaration.go
@@ -70,6 +70,10 @@
 	ReportsOutcomes bool `json:"reports_outcomes,omitempty" yaml:"reports_outcomes"`
 	// ChecksOrders says that its engines refuse an old fencing number.
 	ChecksOrders bool `json:"checks_orders,omitempty" yaml:"checks_orders"`
+	// Managed says that the system starts and stops its instances.
+	Managed bool `json:"managed,omitempty" yaml:"managed"`
+	// LeastInstances is the least number of instances of a managed service.
+	LeastInstances int `json:"least_instances,omitempty" yaml:"least_instances"`
 	// Routes mark which requests of a plain service are not idempotent.
 	Routes []Route `json:"routes,omitempty" yaml:"routes"`
 }
--- a/spokedemo/local.go
+++ b/spokedemo/local.go
@@ -33,6 +33,9 @@
 	Step time.Duration
 	// SwitchOff names mechanisms to turn off.
 	SwitchOff []string
+	// StartSlots is the slots of engines that the cloud API starts. Zero means
+	// the engine's own.
+	StartSlots int
 	// CallerAddress is where the first entry instance listens. Empty means any
 	// free port.
 	CallerAddress string
@@ -46,6 +49,7 @@
 	engines map[string]*spokestandin.Engine
 	plains  map[string]*spokestandin.Plain
 	entries []*spokeentry.Entry
+	started int
 	urls    platformURLs
 }
 
@@ -100,7 +104,7 @@
 
 func (l *Local) startPlatform() error {
 	l.table = &spokestandin.Table{}
-	l.cloud = &spokestandin.Cloud{KillFunc: func(i spokecloud.Instance) { l.Kill(i.Name) }}
+	l.cloud = &spokestandin.Cloud{KillFunc: func(i spokecloud.Instance) { l.Kill(i.Name) }, StartFunc: l.startInstance}
 	tableAddress, err := l.listenAndServe("table", l.table.Handler())
 	if err != nil {
 		return err
@@ -129,6 +133,22 @@
 	return nil
 }
 
+// startInstance starts a model engine for the cloud API.
+func (l *Local) startInstance(request spokecloud.StartRequest) (spokecloud.Instance, bool) {
+	l.mutex.Lock()
+	l.started++
+	name := fmt.Sprintf("%s-%s-started-%d", request.DataCentre, request.Service, l.started)
+	l.mutex.Unlock()
+	address, err := l.listenAndServe(name, l.engineHandler(name, Servers{Slots: l.StartSlots}))
+	if err != nil {
+		return spokecloud.Instance{}, false
+	}
+	return spokecloud.Instance{
+		Name: name, Role: spokecloud.RoleBackend, Service: request.Service, DataCentre: request.DataCentre,
+		Address: address, MachineClass: request.MachineClass, Reclaimable: request.Reclaimable,
+	}, true
+}
+
 func (l *Local) startServer(place, name string, servers Servers) error {
 	handler := l.plainHandler(name)
 	if servers.Kind == spokeconfig.ServiceModel {
@@ -153,7 +173,9 @@
 
 func (l *Local) engineHandler(name string, servers Servers) http.Handler {
 	engine := &spokestandin.Engine{Name: name, Slots: servers.Slots, Step: l.Step}
+	l.mutex.Lock()
 	l.engines[name] = engine
+	l.mutex.Unlock()
 	handler := engine.Handler()
 	l.running.Go(func() { engine.Run(l.ctx) })
 	return handler
@@ -241,7 +263,11 @@
 func (l *Local) Cloud() *spokestandin.Cloud { return l.cloud }
 
 // Engine returns a model engine by name, or nil.
-func (l *Local) Engine(name string) *spokestandin.Engine { return l.engines[name] }
+func (l *Local) Engine(name string) *spokestandin.Engine {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.engines[name]
+}
 
 // Plain returns a plain service's backend server by name, or nil.
 func (l *Local) Plain(name string) *spokestandin.Plain { return l.plains[name] }
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -18,6 +18,7 @@
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokefleet"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokelease"
 	"mulberryspoke.example/mulberryspoke/spokelog"
@@ -35,6 +36,8 @@
 	pruneInterval = 60 * spokeclock.Second
 	closeTimeout  = 2 * spokeclock.Second
 	settleTimeout = 5 * spokeclock.Second
+	// orderDelivery is the longest time an order takes to reach an engine.
+	orderDelivery = 2 * spokeclock.Second
 )
 
 // Entry is one entry instance. Set its fields before Run.
@@ -57,6 +60,7 @@
 	commands *spokeoperate.Commands
 	queries  *spokeoperate.Queries
 	prune    *spokelease.Lease
+	fleet    *spokefleet.Manager
 	callers  *http.Server
 	ops      *http.Server
 	unready  atomic.Bool
@@ -172,6 +176,10 @@
 		ChangedFunc: e.node.Wake, Log: e.Logs.Part("watch"),
 	}
 	e.prune = &spokelease.Lease{Table: table, Name: "prune", Holder: e.Settings.Name, Log: e.Logs.Part("lease")}
+	e.fleet = &spokefleet.Manager{
+		Lease: &spokelease.Lease{Table: table, Name: "fleet", Holder: e.Settings.Name, Delivery: orderDelivery, Log: e.Logs.Part("lease")},
+		Cloud: e.watch.Cloud, Registry: e.registry, Store: e.store, Client: client, ChangedFunc: e.node.Wake, Log: e.Logs.Part("fleet"),
+	}
 	e.buildServers(client)
 	e.seed()
 	e.publish()
@@ -187,7 +195,7 @@
 	}
 	gate := spokeoperate.Gate{KeySHA256: e.Settings.OperatorKey}
 	e.commands = &spokeoperate.Commands{Gate: gate, Keeper: e.keeper, View: e.view, ChangedFunc: e.node.Wake}
-	e.queries = &spokeoperate.Queries{Gate: gate, Store: e.store, View: e.view, Registry: e.registry, Server: e.server}
+	e.queries = &spokeoperate.Queries{Gate: gate, Store: e.store, View: e.view, Registry: e.registry, Server: e.server, Leases: []*spokelease.Lease{e.prune, e.fleet.Lease}}
 	e.callers = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: closeTimeout.Duration()}
 	e.ops = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: closeTimeout.Duration()}
 }
@@ -227,6 +235,8 @@
 	running.Go(func() { e.node.Run(ctx) })
 	running.Go(func() { e.watch.Run(ctx) })
 	running.Go(func() { e.prune.Run(ctx) })
+	running.Go(func() { e.fleet.Lease.Run(ctx) })
+	running.Go(func() { e.fleet.Run(ctx) })
 	running.Go(func() { spokeclock.Every(ctx, pruneInterval, func() { e.pruneOnce(ctx) }) })
 }
 
--- a/spokemeasure/bench.go
+++ b/spokemeasure/bench.go
@@ -33,6 +33,10 @@
 	engines   int
 	routing   spokeconfig.Routing
 	switchOff []string
+	// managed lets the product start and stop instances.
+	managed bool
+	// onDemand is a number of on-demand engines, spread over the places.
+	onDemand int
 }
 
 // variant is one policy, or one mechanism turned off, under a name.
@@ -65,7 +69,7 @@
 
 func startBench(ctx context.Context, s setup) (*bench, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	local := &spokedemo.Local{Example: s.example(), Logs: spokelog.Discard(), Step: benchStep, SwitchOff: s.switchOff}
+	local := &spokedemo.Local{Example: s.example(), Logs: spokelog.Discard(), Step: benchStep, SwitchOff: s.switchOff, StartSlots: benchSlots}
 	if err := local.Start(ctx); err != nil {
 		cancel()
 		return nil, err
@@ -89,20 +93,26 @@
 	for i := range s.places {
 		name := fmt.Sprintf("place-%d", i+1)
 		fmt.Fprintf(&declaration, "  - {name: %s, region: bench}\n", name)
-		deployment.DataCentres = append(deployment.DataCentres, spokedemo.DataCentre{
-			Name: name, Entries: 2,
-			Servers: []spokedemo.Servers{{
-				Service: benchService, Kind: spokeconfig.ServiceModel, Count: s.engines, Slots: benchSlots,
-				MachineClass: "bench", Reclaimable: true,
-			}},
-		})
+		servers := spokedemo.Servers{
+			Service: benchService, Kind: spokeconfig.ServiceModel, Count: s.engines, Slots: benchSlots,
+			MachineClass: "bench", Reclaimable: true,
+		}
+		if s.onDemand > 0 {
+			servers.Count = (s.onDemand + i) / s.places
+			servers.Reclaimable = false
+		}
+		deployment.DataCentres = append(deployment.DataCentres, spokedemo.DataCentre{Name: name, Entries: 2, Servers: []spokedemo.Servers{servers}})
 	}
 	fmt.Fprintf(&declaration, `services:
-  - {name: %s, kind: model, first_token_target_millis: 1900, token_gap_target_millis: 61, long_answer_tokens: 200, routing: %s}
+  - {name: %s, kind: model, first_token_target_millis: 1900, token_gap_target_millis: 61, long_answer_tokens: 200, routing: %s, managed: %t, least_instances: %d}
 workspaces:
   - {name: bench, key_sha256: %s}
   - {name: other, key_sha256: %s, priority: 1}
-`, benchService, s.routing, spokeconfig.HashKey(benchKey), spokeconfig.HashKey(otherKey))
+`, benchService, s.routing, s.managed, managedLeast, spokeconfig.HashKey(benchKey), spokeconfig.HashKey(otherKey))
+	declaration.WriteString("prices:\n")
+	for i := range s.places {
+		fmt.Fprintf(&declaration, "  - {data_centre: place-%d, machine_class: bench, reclaimable_per_hour: %v, on_demand_per_hour: %v}\n", i+1, reclaimPrice, onDemandPrice)
+	}
 	return spokedemo.Example{Deployment: deployment, Declaration: []byte(declaration.String())}
 }
 
--- a/spokeoperate/query.go
+++ b/spokeoperate/query.go
@@ -12,6 +12,7 @@
 	"mulberryspoke.example/mulberryspoke/gen/query"
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokelease"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 	"mulberryspoke.example/mulberryspoke/spokeserve"
 )
@@ -33,6 +34,8 @@
 	Registry *spokebackend.Registry
 	// Server knows the last placements.
 	Server *spokeserve.Server
+	// Leases are the duties that this instance may hold.
+	Leases []*spokelease.Lease
 }
 
 // Get implements the query service of the API.
@@ -104,7 +107,7 @@
 	return table, nil
 }
 
-const nouns = "servers, entries, data_centres, services, workspaces, marks, placements"
+const nouns = "servers, entries, data_centres, services, workspaces, marks, placements, duties"
 
 func (q *Queries) table(noun string) (*query.Table, error) {
 	switch noun {
@@ -122,6 +125,8 @@
 		return q.marks(), nil
 	case "placements":
 		return q.placements(), nil
+	case "duties":
+		return q.duties(), nil
 	default:
 		return nil, fmt.Errorf("%q is not known; allowed: %s", noun, nouns)
 	}
@@ -253,6 +258,15 @@
 	return table
 }
 
+func (q *Queries) duties() *query.Table {
+	table := &query.Table{Columns: []string{"duty", "held_here", "fence"}}
+	for _, lease := range q.Leases {
+		fence, held := lease.Held()
+		add(table, lease.Name, strconv.FormatBool(held), strconv.FormatInt(int64(fence), 10))
+	}
+	return table
+}
+
 var (
 	_ query.Service   = (*Queries)(nil)
 	_ command.Service = (*Commands)(nil)
--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -353,7 +353,7 @@
 // mustMove decides whether an answer is to leave a departing server, or is
 // expected to end there in time.
 func (g *generation) mustMove(departure spokebackend.Departure) bool {
-	if departure.Source == spokebackend.SourceDrain || g.server.Switches.NoMove {
+	if departure.Source == spokebackend.SourceDrain || departure.Source == spokebackend.SourcePlan || g.server.Switches.NoMove {
 		return false
 	}
 	if departure.Source == spokebackend.SourceStop || departure.Left == 0 {
--- a/spokestandin/cloud.go
+++ b/spokestandin/cloud.go
@@ -112,6 +112,13 @@
 	return mux
 }
 
+// Live returns the instances that run.
+func (c *Cloud) Live() []spokecloud.Instance {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.snapshot()
+}
+
 // Control does what a control call asks for.
 func (c *Cloud) Control(request CloudControl) {
 	c.mutex.Lock()
