serve: refuse paths that step out of their route, and mend a race

Cause: a plain service's path was matched against its routes as sent, so that /status/../payments counted as idempotent and could have run twice at a server that resolves it; and the path went on unescaped. The race detector, in programs built with it, found one race: a stall timer could fire before it was stored. Ruled out: other races in the scripts run with it (at most once, whole answers, configuration, reclaim, fleet, cut off, shutdown, random faults). Change: such paths are refused as malformed, others go on escaped; the timer is stored under the lock; draining entry instances get no duties; make soak builds with the race detector, and any test fails on a race in a process's log.

--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -146,8 +146,10 @@
 }
 
 func (c *cluster) startEngine(name, address string) {
-	args := []string{"engine", "--address", address, "--name", name,
-		"--slots", fmt.Sprint(max(1, c.shape.Slots)), "--step-millis", fmt.Sprint(max(1, c.shape.Step))}
+	args := []string{
+		"engine", "--address", address, "--name", name,
+		"--slots", fmt.Sprint(max(1, c.shape.Slots)), "--step-millis", fmt.Sprint(max(1, c.shape.Step)),
+	}
 	if c.shape.ChecksOrders {
 		args = append(args, "--checks-orders")
 	}
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -23,7 +24,11 @@
 		panic(err)
 	}
 	programs = folder
-	build := exec.Command("go", "build", "-o", folder+"/", "../cmd/...")
+	args := []string{"build", "-o", folder + "/"}
+	if os.Getenv("MULBERRYSPOKE_RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../cmd/...")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -53,6 +58,9 @@
 	t.Cleanup(func() {
 		p.signal(syscall.SIGKILL)
 		<-p.ended
+		if text, _ := os.ReadFile(log.Name()); strings.Contains(string(text), "DATA RACE") {
+			t.Errorf("%s has a data race:\n%s", name, text)
+		}
 		if t.Failed() && os.Getenv("MULBERRYSPOKE_SHOW_LOGS") != "" {
 			text, _ := os.ReadFile(log.Name())
 			t.Logf("log of %s:\n%s", name, text)
--- a/spokemeasure/bench.go
+++ b/spokemeasure/bench.go
@@ -37,6 +37,8 @@
 	managed bool
 	// onDemand is a number of on-demand engines, spread over the places.
 	onDemand int
+	// reclaimPrice is what is declared for a reclaimable instance.
+	reclaimPrice float64
 }
 
 // variant is one policy, or one mechanism turned off, under a name.
@@ -111,7 +113,7 @@
 `, benchService, s.routing, s.managed, managedLeast, spokeconfig.HashKey(benchKey), spokeconfig.HashKey(otherKey))
 	declaration.WriteString("prices:\n")
 	for i := range s.places {
-		fmt.Fprintf(&declaration, "  - {data_centre: place-%d, machine_class: bench, reclaimable_per_hour: %v, on_demand_per_hour: %v}\n", i+1, reclaimPrice, onDemandPrice)
+		fmt.Fprintf(&declaration, "  - {data_centre: place-%d, machine_class: bench, reclaimable_per_hour: %v, on_demand_per_hour: %v}\n", i+1, s.reclaimPrice, onDemandPrice)
 	}
 	return spokedemo.Example{Deployment: deployment, Declaration: []byte(declaration.String())}
 }
--- a/spokemeasure/cost.go
+++ b/spokemeasure/cost.go
@@ -12,23 +12,33 @@
 )
 
 const (
-	costPlaces     = 4
-	reclaimPrice   = 0.40
-	onDemandPrice  = 1.30
-	costPhase      = 12 * spokeclock.Second
-	costNotice     = 2 * spokeclock.Second
-	costSample     = 200 * spokeclock.Millis(1)
-	lowRate        = 20.0
-	peakRate       = 60.0
-	onDemandFleet  = 5
+	costPlaces    = 4
+	reclaimPrice  = 0.40
+	onDemandPrice = 1.30
+	costPhase     = 12 * spokeclock.Second
+	costNotice    = 2 * spokeclock.Second
+	costSample    = 200 * spokeclock.Millis(1)
+	lowRate       = 20.0
+	peakRate      = 60.0
+	// onDemandFleet holds the peak with the same headroom as a managed fleet.
+	onDemandFleet  = 3
 	managedLeast   = 2
-	answersForCost = 1000.0
+	answersForCost = 1e6
+)
+
+const (
+	variantFixed    = "all on demand, sized for the peak"
+	variantOnDemand = "managed, on demand only"
+	variantManaged  = "managed"
+	// neverPrice keeps a managed fleet from taking reclaimable instances.
+	neverPrice = 1000.0
 )
 
 func costVariants() []variant {
 	return []variant{
-		{name: "all on demand, sized for the peak", routing: spokeconfig.RoutingScore},
-		{name: "managed", routing: spokeconfig.RoutingScore},
+		{name: variantFixed, routing: spokeconfig.RoutingScore},
+		{name: variantOnDemand, routing: spokeconfig.RoutingScore},
+		{name: variantManaged, routing: spokeconfig.RoutingScore},
 	}
 }
 
@@ -36,7 +46,11 @@
 // starts, and counts what the instances cost.
 func costOf(ctx context.Context, v variant, seed uint64) ([]sample, error) {
 	s := v.setup(costPlaces, 0)
-	s.managed = v.name == "managed"
+	s.managed = v.name != variantFixed
+	s.reclaimPrice = reclaimPrice
+	if v.name == variantOnDemand {
+		s.reclaimPrice = neverPrice
+	}
 	if !s.managed {
 		s.onDemand = onDemandFleet
 	}
@@ -69,7 +83,7 @@
 		slowest = max(slowest, group.First.P95)
 	}
 	return []sample{
-		{"cost for 1000 good answers", meter.total / float64(max(1, good)) * answersForCost},
+		{"cost for a million good answers", meter.total / float64(max(1, good)) * answersForCost},
 		{"part good", ratio(float64(good), float64(sent))},
 		{"first token p95, worst phase, ms", float64(slowest)},
 		{"requests lost or broken", float64(result.Broken())},
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -200,13 +200,13 @@
 }
 
 // standing returns the instances of this data centre among which duties are
-// shared out: the live ones, and the listed ones that have not been tried yet.
-// Without the latter, an instance that has just started would take all duties.
+// shared out: the live ones that do not shut down, and the listed ones that
+// have not been tried yet. Without the latter, an instance that has just started would take all duties.
 func (v *View) standing() []Identity {
 	now := v.Clock.Now()
 	identities := []Identity{v.Self}
 	for _, p := range v.peers {
-		if p.identity.DataCentre != v.Self.DataCentre {
+		if p.identity.DataCentre != v.Self.DataCentre || p.draining {
 			continue
 		}
 		untried := p.listed && !p.heard && !p.failedLately(now)
--- a/spokeserve/incoming.go
+++ b/spokeserve/incoming.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
+	"path"
 
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
@@ -41,13 +43,17 @@
 	incomingFrom(ctx).status = status
 }
 
-// pathWithin returns the path for the backend server.
-func (in *incoming) pathWithin(path string) string {
-	full := "/" + path
-	if in.query != "" {
-		full += "?" + in.query
+// pathWithin returns the escaped path and query for the backend server. It
+// reports false for a path that a server might take for another one, whose
+// route could be marked differently.
+func (in *incoming) pathWithin(within string) (string, bool) {
+	full := "/" + within
+	cleaned := path.Clean(full)
+	if cleaned != full && cleaned+"/" != full {
+		return "", false
 	}
-	return full
+	target := url.URL{Path: full, RawQuery: in.query}
+	return target.RequestURI(), true
 }
 
 // statusWriter puts a backend server's status in place of the API's 200.
--- a/spokeserve/plain.go
+++ b/spokeserve/plain.go
@@ -53,6 +53,10 @@
 	if refused != nil {
 		return spokeplain.Answer{}, refused
 	}
+	target, clean := incoming.pathWithin(payload.Path)
+	if !clean {
+		return spokeplain.Answer{}, refuse(KindMalformed, retrySlow, "the path has empty, . or .. segments")
+	}
 	if refused := s.limit(v, 0); refused != nil {
 		return spokeplain.Answer{}, refused
 	}
@@ -60,7 +64,7 @@
 	ctx, span := spoketrace.Begin(ctx, "entry plain")
 	c := &call{server: s, visitor: v, request: spokeplain.Request{
 		Method:      incoming.method,
-		Path:        incoming.pathWithin(payload.Path),
+		Path:        target,
 		ContentType: incoming.contentType,
 		Body:        content,
 	}}
--- a/spokeserve/watchdog.go
+++ b/spokeserve/watchdog.go
@@ -54,6 +54,8 @@
 		last:       g.server.Clock.Now(),
 		first:      true,
 	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	d.timer = time.AfterFunc(d.tick.Duration(), d.check)
 	return d
 }
