--- a/integration/input_test.go
+++ b/integration/input_test.go
@@ -13,10 +13,10 @@
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/sashabaranov/go-openai"
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
 )
@@ -39,10 +39,7 @@
 	t.Parallel()
 	c := startCluster(t, deployment{DataCentres: []string{"a"}, Entries: 1, Engines: 1, Plains: 1, Slots: 4, Step: 3}, nil)
 	url := "http://" + c.entries[0].callers
-	text, err := os.ReadFile("testdata/bad_input/requests.yaml")
-	require.NoError(t, err)
-	var cases []badRequest
-	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.DisallowUnknownField()))
+	cases := spokecase.Read[[]badRequest](t, "testdata/bad_input/requests.yaml")
 	for _, bad := range cases {
 		t.Run(bad.Name, func(t *testing.T) { bad.check(t, url) })
 	}
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -1,12 +1,11 @@
 package integration
 
 import (
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeload"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
@@ -204,13 +203,7 @@
 
 func readScript(t *testing.T, path string) script {
 	t.Helper()
-	text, err := os.ReadFile(path)
-	require.NoError(t, err)
-	var s script
-	err = yaml.UnmarshalWithOptions(text, &s, yaml.DisallowUnknownField())
-	if err != nil {
-		t.Fatalf("%s: %s", path, yaml.FormatError(err, false, true))
-	}
+	s := spokecase.Read[script](t, path)
 	require.NotEmpty(t, s.Proves, "%s does not say what it proves", path)
 	return s
 }
--- a/spokeadmit/queue_test.go
+++ b/spokeadmit/queue_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"os"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 
 	"mulberryspoke.example/mulberryspoke/spokeadmit"
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
@@ -60,10 +59,7 @@
 }
 
 func TestQueue(t *testing.T) {
-	text, err := os.ReadFile("testdata/queue.yaml")
-	require.NoError(t, err)
-	var cases []queueCase
-	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.DisallowUnknownField()))
+	cases := spokecase.Read[[]queueCase](t, "testdata/queue.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) { c.run(t) })
 	}
--- /dev/null
+++ b/spokecase/doc.go
@@ -0,0 +1,2 @@
+// Package spokecase reads the data files of scripted tests.
+package spokecase
--- a/spokeconfig/config_test.go
+++ b/spokeconfig/config_test.go
@@ -1,14 +1,13 @@
 package spokeconfig_test
 
 import (
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
@@ -26,10 +25,7 @@
 // TestDeclarations checks each broken declaration for an error that names the
 // field.
 func TestDeclarations(t *testing.T) {
-	text, err := os.ReadFile("testdata/declarations.yaml")
-	require.NoError(t, err)
-	var script declarationScript
-	require.NoError(t, yaml.UnmarshalWithOptions(text, &script, yaml.DisallowUnknownField()))
+	script := spokecase.Read[declarationScript](t, "testdata/declarations.yaml")
 	for _, c := range script.Cases {
 		t.Run(c.Name, func(t *testing.T) {
 			if c.Replace != "" {
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -34,7 +34,7 @@
 const (
 	drainPoll     = 20 * spokeclock.Millis(1)
 	pruneInterval = 60 * spokeclock.Second
-	closeTimeout  = 2 * spokeclock.Second
+	headerTimeout = 2 * spokeclock.Second
 	settleTimeout = 5 * spokeclock.Second
 	// orderDelivery is the longest time an order takes to reach an engine.
 	orderDelivery = 2 * spokeclock.Second
@@ -175,9 +175,9 @@
 		Keeper: e.keeper, View: e.view, Registry: e.registry, Client: client,
 		ChangedFunc: e.node.Wake, Log: e.Logs.Part("watch"),
 	}
-	e.prune = &spokelease.Lease{Table: table, Name: "prune", Holder: e.Settings.Name, Log: e.Logs.Part("lease")}
+	e.prune = e.lease(table, "prune", 0)
 	e.fleet = &spokefleet.Manager{
-		Lease: &spokelease.Lease{Table: table, Name: "fleet", Holder: e.Settings.Name, Delivery: orderDelivery, Log: e.Logs.Part("lease")},
+		Lease: e.lease(table, "fleet", orderDelivery),
 		Cloud: e.watch.Cloud, Registry: e.registry, Store: e.store, Client: client, ChangedFunc: e.node.Wake, Log: e.Logs.Part("fleet"),
 	}
 	e.buildServers(client)
@@ -185,6 +185,16 @@
 	e.publish()
 }
 
+// lease returns the lease of a duty, for which one instance of each data centre
+// contends.
+func (e *Entry) lease(table *spoketable.Table, duty string, delivery spokeclock.Millis) *spokelease.Lease {
+	return &spokelease.Lease{
+		Table: table, Name: duty, Holder: e.Settings.Name, Delivery: delivery,
+		EligibleFunc: func() bool { return e.view.Watches("duty/" + duty) },
+		Log:          e.Logs.Part("lease"),
+	}
+}
+
 func (e *Entry) buildServers(client *http.Client) {
 	e.server = &spokeserve.Server{
 		Store: e.store, Registry: e.registry, View: e.view, Claims: e.claims,
@@ -196,8 +206,8 @@
 	gate := spokeoperate.Gate{KeySHA256: e.Settings.OperatorKey}
 	e.commands = &spokeoperate.Commands{Gate: gate, Keeper: e.keeper, View: e.view, ChangedFunc: e.node.Wake}
 	e.queries = &spokeoperate.Queries{Gate: gate, Store: e.store, View: e.view, Registry: e.registry, Server: e.server, Leases: []*spokelease.Lease{e.prune, e.fleet.Lease}}
-	e.callers = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: closeTimeout.Duration()}
-	e.ops = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: closeTimeout.Duration()}
+	e.callers = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	e.ops = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
 }
 
 func (e *Entry) identity() spokemember.Identity {
@@ -259,64 +269,3 @@
 		e.log.Error().Err(err).Msg("Listener failed.")
 	}
 }
-
-// shutDown ends the service in order, within the grace period.
-func (e *Entry) shutDown() error {
-	e.log.Info().Int64("active", e.server.Active()).Msg("Shutdown begins.")
-	e.unready.Store(true)
-	e.node.Drain()
-	e.pause(e.Settings.Unready)
-	e.server.Drain()
-	left := e.awaitIdle()
-	settle, cancel := context.WithTimeout(context.Background(), settleTimeout.Duration())
-	defer cancel()
-	if err := e.claims.Settled(settle); err != nil {
-		e.log.Warn().Msg("Claims were left unsettled.")
-	}
-	if left > 0 {
-		e.log.Warn().Int64("left", left).Msg("Requests were cut off.")
-		return spokeerror.Newf("shut down", KindCut, "%d requests", left)
-	}
-	e.log.Info().Msg("Shutdown cut off nothing.")
-	return nil
-}
-
-// pause waits, unless the instance is killed meanwhile.
-func (e *Entry) pause(span spokeclock.Millis) {
-	ctx, cancel := context.WithTimeout(context.Background(), span.Duration())
-	defer cancel()
-	select {
-	case <-ctx.Done():
-	case <-e.killed:
-	}
-}
-
-// awaitIdle waits for requests under way and returns how many are left.
-func (e *Entry) awaitIdle() int64 {
-	var clock spokeclock.Clock
-	until := clock.Now() + e.Settings.Grace
-	for e.server.Active() > 0 && clock.Now() < until {
-		select {
-		case <-e.killed:
-			return e.server.Active()
-		default:
-			e.pause(drainPoll)
-		}
-	}
-	return e.server.Active()
-}
-
-func (e *Entry) closeServers() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout.Duration())
-	defer cancel()
-	select {
-	case <-e.killed:
-		_ = e.callers.Close()
-		_ = e.ops.Close()
-	default:
-		_ = e.callers.Shutdown(ctx)
-		_ = e.ops.Shutdown(ctx)
-		_ = e.callers.Close()
-		_ = e.ops.Close()
-	}
-}
--- a/spokeentry/settings_test.go
+++ b/spokeentry/settings_test.go
@@ -1,13 +1,12 @@
 package spokeentry_test
 
 import (
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeentry"
 )
 
@@ -20,10 +19,7 @@
 // TestSettings checks that a setting that is not allowed is named with its
 // value and what is.
 func TestSettings(t *testing.T) {
-	text, err := os.ReadFile("testdata/settings.yaml")
-	require.NoError(t, err)
-	var cases []settingCase
-	require.NoError(t, yaml.Unmarshal(text, &cases))
+	cases := spokecase.Read[[]settingCase](t, "testdata/settings.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			settings := goodSettings()
--- /dev/null
+++ b/spokeentry/shutdown.go
@@ -0,0 +1,71 @@
+package spokeentry
+
+import (
+	"context"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+)
+
+// shutDown ends the service in order, within the grace period.
+func (e *Entry) shutDown() error {
+	e.log.Info().Int64("active", e.server.Active()).Msg("Shutdown begins.")
+	e.unready.Store(true)
+	e.node.Drain()
+	e.pause(e.Settings.Unready)
+	e.server.Drain()
+	left := e.awaitIdle()
+	settle, cancel := context.WithTimeout(context.Background(), settleTimeout.Duration())
+	defer cancel()
+	if err := e.claims.Settled(settle); err != nil {
+		e.log.Warn().Msg("Claims were left unsettled.")
+	}
+	if left > 0 {
+		e.log.Warn().Int64("left", left).Msg("Requests were cut off.")
+		return spokeerror.Newf("shut down", KindCut, "%d requests", left)
+	}
+	e.log.Info().Msg("Shutdown cut off nothing.")
+	return nil
+}
+
+// pause waits, unless the instance is killed meanwhile.
+func (e *Entry) pause(span spokeclock.Millis) {
+	ctx, cancel := context.WithTimeout(context.Background(), span.Duration())
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-e.killed:
+	}
+}
+
+// awaitIdle waits for requests under way and returns how many are left.
+func (e *Entry) awaitIdle() int64 {
+	var clock spokeclock.Clock
+	until := clock.Now() + e.Settings.Grace
+	for e.server.Active() > 0 && clock.Now() < until {
+		select {
+		case <-e.killed:
+			return e.server.Active()
+		default:
+			e.pause(drainPoll)
+		}
+	}
+	return e.server.Active()
+}
+
+// closeServers ends the listeners. Answers that are still being written have
+// the grace period, unless the instance is killed.
+func (e *Entry) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Grace.Duration())
+	defer cancel()
+	go func() {
+		select {
+		case <-e.killed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	_ = e.callers.Shutdown(ctx)
+	_ = e.callers.Close()
+	_ = e.ops.Close()
+}
--- a/spokefleet/plan_test.go
+++ b/spokefleet/plan_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokefleet"
 )
 
@@ -56,10 +55,7 @@
 }
 
 func TestPlans(t *testing.T) {
-	text, err := os.ReadFile("testdata/plans.yaml")
-	require.NoError(t, err)
-	var cases []planCase
-	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.DisallowUnknownField()))
+	cases := spokecase.Read[[]planCase](t, "testdata/plans.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			plan := spokefleet.Decide(spokefleet.Need{Demand: c.Demand, Slots: 8, Least: 1}, options(c.Refused, c.RefusedOnDemand), c.running())
--- a/spokelease/lease.go
+++ b/spokelease/lease.go
@@ -50,6 +50,9 @@
 	// Delivery is the longest time an order takes to reach a server. A
 	// successor waits it out after the term.
 	Delivery spokeclock.Millis
+	// EligibleFunc reports whether this process should contend for the lease
+	// while it does not hold it, so that few read its row. Nil means always.
+	EligibleFunc func() bool
 	// Log takes the lease's log lines.
 	Log zerolog.Logger
 
@@ -80,6 +83,9 @@
 }
 
 func (l *Lease) step(ctx context.Context) {
+	if _, held := l.Held(); !held && l.EligibleFunc != nil && !l.EligibleFunc() {
+		return
+	}
 	started := l.Clock.Now()
 	rows, err := l.Table.Read(ctx, keyPrefix+l.Name)
 	if err != nil {
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"net/http/httptest"
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokelease"
@@ -35,10 +34,7 @@
 // TestLeases plays each script on a stand-in of the table service with a clock
 // that the script moves.
 func TestLeases(t *testing.T) {
-	text, err := os.ReadFile("testdata/leases.yaml")
-	require.NoError(t, err)
-	var cases []leaseCase
-	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.DisallowUnknownField()))
+	cases := spokecase.Read[[]leaseCase](t, "testdata/leases.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) { c.play(t) })
 	}
--- a/spokeroute/policy_test.go
+++ b/spokeroute/policy_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokeroute"
 )
@@ -51,10 +50,7 @@
 // TestChoices makes each choice with many seeds, since ties are broken at
 // random.
 func TestChoices(t *testing.T) {
-	text, err := os.ReadFile("testdata/choices.yaml")
-	require.NoError(t, err)
-	var cases []choiceCase
-	require.NoError(t, yaml.UnmarshalWithOptions(text, &cases, yaml.DisallowUnknownField()))
+	cases := spokecase.Read[[]choiceCase](t, "testdata/choices.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			for seed := range uint64(50) {
--- a/spokeserve/chat.go
+++ b/spokeserve/chat.go
@@ -43,13 +43,13 @@
 	request, refused := s.readChat(body)
 	if refused != nil {
 		done()
-		s.Counters.refused("", refused.Detail.Type)
+		s.countRefused("", refused)
 		return nil, nil, refused
 	}
 	result, answer, refused := s.complete(ctx, payload, request, done)
 	if refused != nil {
 		done()
-		s.Counters.refused(request.Model, refused.Detail.Type)
+		s.countRefused(request.Model, refused)
 		return nil, nil, refused
 	}
 	return result, answer, nil
@@ -141,7 +141,6 @@
 			Priority:  s.priority(v, long),
 		},
 		tokens: make(chan string, tokenRing),
-		ended:  make(chan struct{}),
 	}
 	return g
 }
--- a/spokeserve/plain.go
+++ b/spokeserve/plain.go
@@ -35,7 +35,7 @@
 	defer done()
 	answer, refused := s.call(ctx, payload, body)
 	if refused != nil {
-		s.Counters.refused(payload.Service, refused.Detail.Type)
+		s.countRefused(payload.Service, refused)
 		return nil, nil, refused
 	}
 	s.Counters.answered(payload.Service)
--- a/spokeserve/server.go
+++ b/spokeserve/server.go
@@ -139,6 +139,20 @@
 	return visitor{snapshot: snapshot, workspace: workspace, service: declared}, nil
 }
 
+// countRefused counts a refusal. A service that is not declared counts as
+// unknown, since a caller could make up any number of names.
+func (s *Server) countRefused(service string, refused *types.Refusal) {
+	name := unknownService
+	if current := s.Store.Current(); current != nil {
+		if declared, known := current.Service(service); known {
+			name = declared.Name
+		}
+	}
+	s.Counters.refused(name, refused.Detail.Type)
+}
+
+const unknownService = "unknown"
+
 const quoteLimit = 64
 
 func quote(name string) string {
--- a/spokestandin/engine.go
+++ b/spokestandin/engine.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -13,7 +11,6 @@
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
-	"mulberryspoke.example/mulberryspoke/spokehttp"
 )
 
 const (
@@ -45,22 +42,6 @@
 	CacheGaps bool `json:"cache_gaps,omitempty"`
 }
 
-// EngineUse counts what an engine did.
-type EngineUse struct {
-	// Requests counts answers begun.
-	Requests int64 `json:"requests"`
-	// Tokens counts tokens generated.
-	Tokens int64 `json:"tokens"`
-	// Computed counts prompt tokens computed.
-	Computed int64 `json:"computed"`
-	// Recomputed counts tokens computed for resumed answers.
-	Recomputed int64 `json:"recomputed"`
-	// Cached counts prompt tokens found in the prefix cache.
-	Cached int64 `json:"cached"`
-	// Orders are the orders taken, in order.
-	Orders []spokeengine.Order `json:"orders"`
-}
-
 // Engine is a model engine that batches continuously. Set its fields before
 // Run.
 type Engine struct {
@@ -94,11 +75,6 @@
 	wake     chan struct{}
 }
 
-type timedLoad struct {
-	at   spokeclock.Millis
-	load spokeengine.Load
-}
-
 // sequence is one answer in the engine.
 type sequence struct {
 	request spokeengine.GenerateRequest
@@ -111,14 +87,6 @@
 	quirk   quirk
 }
 
-// quirk is what goes wrong with one stream.
-type quirk struct {
-	truncateAfter int
-	duplicate     bool
-	cross         bool
-	skip          bool
-}
-
 // Token returns the token at a place of the answer to a prompt, so that a
 // caller can check an answer.
 func Token(prompt string, index int) string {
@@ -134,24 +102,6 @@
 	return strings.Join(parts, "\n")
 }
 
-// Handler returns the engine's HTTP interface.
-func (e *Engine) Handler() http.Handler {
-	e.fill()
-	service := http.NewServeMux()
-	service.HandleFunc("POST /v1/generate", e.generate)
-	service.Handle("GET /v1/load", spokehttp.Handle(e.load))
-	service.Handle("POST /v1/kv/import", spokehttp.Handle(e.importCache))
-	service.Handle("POST /v1/kv/export", spokehttp.Handle(e.exportCache))
-	service.Handle("POST /v1/orders", spokehttp.Handle(e.order))
-	service.Handle("GET /v1/cache_events", spokehttp.Handle(e.cacheEvents))
-	mux := http.NewServeMux()
-	mux.Handle("/", e.faulty.wrap(service))
-	mux.Handle("POST /control", control(e.Control))
-	mux.Handle("GET /use", spokehttp.Handle(e.report))
-	mux.HandleFunc("POST /control/exit", exit)
-	return mux
-}
-
 func (e *Engine) fill() {
 	if e.Slots == 0 {
 		e.Slots = defaultSlots
@@ -282,32 +232,6 @@
 	return len(strings.Fields(prompt))
 }
 
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
-	var request spokeengine.GenerateRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s := e.enqueue(request)
-	defer e.cancel(s)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	flush := http.NewResponseController(w)
-	_ = flush.Flush()
-	for {
-		select {
-		case <-r.Context().Done():
-			return
-		case event, more := <-s.out:
-			if !more {
-				return
-			}
-			s.write(w, event)
-			_ = flush.Flush()
-		}
-	}
-}
-
 func (e *Engine) enqueue(request spokeengine.GenerateRequest) *sequence {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -350,127 +274,8 @@
 	e.events = append(e.events, event)
 }
 
-func (e *Engine) takeQuirk() quirk {
-	q := quirk{truncateAfter: -1}
-	if e.faults.Truncate > 0 {
-		e.faults.Truncate--
-		q.truncateAfter = e.faults.TruncateAfter
-	}
-	q.duplicate = take(&e.faults.Duplicate)
-	q.cross = take(&e.faults.Cross)
-	q.skip = take(&e.faults.Skip)
-	return q
-}
-
-func take(left *int) bool {
-	if *left == 0 {
-		return false
-	}
-	*left--
-	return true
-}
-
-// write sends an event, with what goes wrong with its stream.
-func (s *sequence) write(w http.ResponseWriter, event spokeengine.Event) {
-	produced := event.Index - len(s.request.Resume)
-	if s.quirk.truncateAfter >= 0 && produced >= s.quirk.truncateAfter {
-		panic(http.ErrAbortHandler)
-	}
-	if s.quirk.skip && produced == 1 && event.Finish == "" {
-		return
-	}
-	if s.quirk.cross {
-		foreign := event
-		foreign.Attempt = "another-attempt"
-		foreign.Token = "WRONG "
-		writeEvent(w, foreign)
-	}
-	writeEvent(w, event)
-	if s.quirk.duplicate && event.Finish == "" {
-		writeEvent(w, event)
-	}
-}
-
-func writeEvent(w http.ResponseWriter, event spokeengine.Event) {
-	text, _ := json.Marshal(event)
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", text)
-}
-
 func (e *Engine) cancel(s *sequence) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.end(s)
 }
-
-func (e *Engine) load(context.Context, struct{}) (spokeengine.Load, error) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	clock := (*spokeclock.Clock)(nil)
-	now := clock.Now()
-	load := spokeengine.Load{Slots: e.Slots, Running: len(e.running), Waiting: len(e.waiting)}
-	if len(e.reports) == 0 || now-e.reports[len(e.reports)-1].at >= loadRefresh {
-		e.reports = append(e.reports, timedLoad{at: now, load: load})
-	}
-	for len(e.reports) > 1 && e.reports[1].at <= now-e.faults.LoadLag {
-		e.reports = e.reports[1:]
-	}
-	lagged := e.reports[0].load
-	lagged.Age = now - e.reports[0].at
-	return lagged, nil
-}
-
-func (e *Engine) report(context.Context, struct{}) (EngineUse, error) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.use, nil
-}
-
-func (e *Engine) order(_ context.Context, order spokeengine.Order) (struct{}, error) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.ChecksOrders && order.Fence < e.fence {
-		return struct{}{}, &spokehttp.Status{Code: http.StatusConflict, Text: "old fencing number"}
-	}
-	e.fence = max(e.fence, order.Fence)
-	e.use.Orders = append(e.use.Orders, order)
-	return struct{}{}, nil
-}
-
-func (e *Engine) exportCache(_ context.Context, request spokeengine.MoveRequest) (spokeengine.Cache, error) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	tokens := e.caches.get(request.Attempt)
-	for _, s := range e.running {
-		if s.request.Attempt == request.Attempt {
-			tokens = promptTokens(s.prompt) + s.next
-		}
-	}
-	if tokens == 0 {
-		return spokeengine.Cache{}, &spokehttp.Status{Code: http.StatusNotFound, Text: "no such cache"}
-	}
-	return spokeengine.Cache{Attempt: request.Attempt, Tokens: tokens}, nil
-}
-
-func (e *Engine) importCache(ctx context.Context, request spokeengine.MoveRequest) (spokeengine.Cache, error) {
-	cache, err := spokehttp.Call[spokeengine.Cache](ctx, http.DefaultClient, request.Source+"/v1/kv/export", request)
-	if err != nil {
-		return spokeengine.Cache{}, &spokehttp.Status{Code: http.StatusBadGateway, Text: err.Error()}
-	}
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.caches.put(cache.Attempt, cache.Tokens)
-	return cache, nil
-}
-
-func (e *Engine) cacheEvents(context.Context, struct{}) ([]spokeengine.CacheEvent, error) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	var events []spokeengine.CacheEvent
-	for i, event := range e.events {
-		if e.faults.CacheGaps && i%2 == 1 {
-			continue
-		}
-		events = append(events, event)
-	}
-	return events, nil
-}
--- /dev/null
+++ b/spokestandin/engineservice.go
@@ -0,0 +1,149 @@
+package spokestandin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeengine"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+)
+
+// EngineUse counts what an engine did.
+type EngineUse struct {
+	// Requests counts answers begun.
+	Requests int64 `json:"requests"`
+	// Tokens counts tokens generated.
+	Tokens int64 `json:"tokens"`
+	// Computed counts prompt tokens computed.
+	Computed int64 `json:"computed"`
+	// Recomputed counts tokens computed for resumed answers.
+	Recomputed int64 `json:"recomputed"`
+	// Cached counts prompt tokens found in the prefix cache.
+	Cached int64 `json:"cached"`
+	// Orders are the orders taken, in order.
+	Orders []spokeengine.Order `json:"orders"`
+}
+
+type timedLoad struct {
+	at   spokeclock.Millis
+	load spokeengine.Load
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	e.fill()
+	service := http.NewServeMux()
+	service.HandleFunc("POST /v1/generate", e.generate)
+	service.Handle("GET /v1/load", spokehttp.Handle(e.load))
+	service.Handle("POST /v1/kv/import", spokehttp.Handle(e.importCache))
+	service.Handle("POST /v1/kv/export", spokehttp.Handle(e.exportCache))
+	service.Handle("POST /v1/orders", spokehttp.Handle(e.order))
+	service.Handle("GET /v1/cache_events", spokehttp.Handle(e.cacheEvents))
+	mux := http.NewServeMux()
+	mux.Handle("/", e.faulty.wrap(service))
+	mux.Handle("POST /control", control(e.Control))
+	mux.Handle("GET /use", spokehttp.Handle(e.report))
+	mux.HandleFunc("POST /control/exit", exit)
+	return mux
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var request spokeengine.GenerateRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s := e.enqueue(request)
+	defer e.cancel(s)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case event, more := <-s.out:
+			if !more {
+				return
+			}
+			s.write(w, event)
+			_ = flush.Flush()
+		}
+	}
+}
+
+func (e *Engine) load(context.Context, struct{}) (spokeengine.Load, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	clock := (*spokeclock.Clock)(nil)
+	now := clock.Now()
+	load := spokeengine.Load{Slots: e.Slots, Running: len(e.running), Waiting: len(e.waiting)}
+	if len(e.reports) == 0 || now-e.reports[len(e.reports)-1].at >= loadRefresh {
+		e.reports = append(e.reports, timedLoad{at: now, load: load})
+	}
+	for len(e.reports) > 1 && e.reports[1].at <= now-e.faults.LoadLag {
+		e.reports = e.reports[1:]
+	}
+	lagged := e.reports[0].load
+	lagged.Age = now - e.reports[0].at
+	return lagged, nil
+}
+
+func (e *Engine) report(context.Context, struct{}) (EngineUse, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.use, nil
+}
+
+func (e *Engine) order(_ context.Context, order spokeengine.Order) (struct{}, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.ChecksOrders && order.Fence < e.fence {
+		return struct{}{}, &spokehttp.Status{Code: http.StatusConflict, Text: "old fencing number"}
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.use.Orders = append(e.use.Orders, order)
+	return struct{}{}, nil
+}
+
+func (e *Engine) exportCache(_ context.Context, request spokeengine.MoveRequest) (spokeengine.Cache, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	tokens := e.caches.get(request.Attempt)
+	for _, s := range e.running {
+		if s.request.Attempt == request.Attempt {
+			tokens = promptTokens(s.prompt) + s.next
+		}
+	}
+	if tokens == 0 {
+		return spokeengine.Cache{}, &spokehttp.Status{Code: http.StatusNotFound, Text: "no such cache"}
+	}
+	return spokeengine.Cache{Attempt: request.Attempt, Tokens: tokens}, nil
+}
+
+func (e *Engine) importCache(ctx context.Context, request spokeengine.MoveRequest) (spokeengine.Cache, error) {
+	cache, err := spokehttp.Call[spokeengine.Cache](ctx, http.DefaultClient, request.Source+"/v1/kv/export", request)
+	if err != nil {
+		return spokeengine.Cache{}, &spokehttp.Status{Code: http.StatusBadGateway, Text: err.Error()}
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.caches.put(cache.Attempt, cache.Tokens)
+	return cache, nil
+}
+
+func (e *Engine) cacheEvents(context.Context, struct{}) ([]spokeengine.CacheEvent, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var events []spokeengine.CacheEvent
+	for i, event := range e.events {
+		if e.faults.CacheGaps && i%2 == 1 {
+			continue
+		}
+		events = append(events, event)
+	}
+	return events, nil
+}
--- a/spokesuspect/detector_test.go
+++ b/spokesuspect/detector_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"os"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokesuspect"
 )
@@ -36,10 +35,7 @@
 // TestDetectors compares the timeout with phi accrual over an hour of
 // heartbeats, then a death.
 func TestDetectors(t *testing.T) {
-	text, err := os.ReadFile("testdata/networks.yaml")
-	require.NoError(t, err)
-	var networks []network
-	require.NoError(t, yaml.UnmarshalWithOptions(text, &networks, yaml.DisallowUnknownField()))
+	networks := spokecase.Read[[]network](t, "testdata/networks.yaml")
 	for _, n := range networks {
 		t.Run(n.Name, func(t *testing.T) {
 			timeout := spokesuspect.Detector{}
