spoke: drop what is unused and what was computed twice

Cause: a last read of the whole change. Ruled out for now: keeping that median between requests. It changes what a choice sees, and so wants one. Conclusion: behaviour is as it was, but for that timeout with claims off.

--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -30,12 +29,10 @@
 // request sends a booking and checks what comes back.
 func (r *runner) request(where string, s *requestStep) {
 	if s.Background != "" {
-		group := &sync.WaitGroup{}
-		r.pending[s.Background] = group
 		foreground := *s
 		foreground.Background = ""
 		r.key(s.Key)
-		group.Go(func() { r.request(where, &foreground) })
+		r.inBackground(s.Background, func() { r.request(where, &foreground) })
 		return
 	}
 	started := time.Now()
--- a/integration/runner_test.go
+++ b/integration/runner_test.go
@@ -303,6 +303,13 @@
 	r.replies = append(r.replies, reply)
 }
 
+// inBackground begins a step under a name to join later.
+func (r *runner) inBackground(name string, do func()) {
+	group := &sync.WaitGroup{}
+	r.pending[name] = group
+	group.Go(do)
+}
+
 func (r *runner) checkRuns(where string, s *runsStep) {
 	if count := r.runs()[s.Body]; count < s.Min || count > s.Max {
 		r.violated("%s: %s ran %d times instead of %d to %d", where, s.Body, count, s.Min, s.Max)
@@ -330,11 +337,9 @@
 
 func (r *runner) command(where string, s *commandStep) {
 	if s.Background != "" {
-		group := &sync.WaitGroup{}
-		r.pending[s.Background] = group
 		foreground := *s
 		foreground.Background = ""
-		group.Go(func() { r.command(where, &foreground) })
+		r.inBackground(s.Background, func() { r.command(where, &foreground) })
 		return
 	}
 	if s.ID == "" {
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -129,8 +129,13 @@
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
 	lines := make([]Line, 0, len(r.servers))
+	medians := make(map[string]float64)
 	for _, s := range r.servers {
-		median := r.medianGap(s.instance.Service)
+		median, known := medians[s.instance.Service]
+		if !known {
+			median = r.medianGap(s.instance.Service)
+			medians[s.instance.Service] = median
+		}
 		lines = append(lines, Line{instance: s.instance, leaving: s.leaving, candidate: r.candidate(s, median, now)})
 	}
 	slices.SortFunc(lines, func(a, b Line) int { return strings.Compare(a.instance.Name, b.instance.Name) })
--- a/spokeclaim/claims.go
+++ b/spokeclaim/claims.go
@@ -17,7 +17,6 @@
 	inlineBytes    = 16 << 10
 	settlePause    = 200 * spokeclock.Millis(1)
 	settlePauseMax = 5 * spokeclock.Second
-	settleRing     = 1024
 	finishPatience = 400 * spokeclock.Millis(1)
 )
 
--- a/spokefleet/manager.go
+++ b/spokefleet/manager.go
@@ -243,8 +243,12 @@
 
 // finishStops gives back servers that have finished or had their time.
 func (m *Manager) finishStops(ctx context.Context) {
+	if len(m.leaving) == 0 {
+		return
+	}
+	inUse := m.inUse()
 	for name, since := range m.leaving {
-		idle := m.inUse(name) == 0 && m.Clock.Now()-since > 2*defaultInterval
+		idle := inUse[name] == 0 && m.Clock.Now()-since > 2*defaultInterval
 		if !idle && m.Clock.Now()-since < drainFor {
 			continue
 		}
@@ -258,11 +262,11 @@
 	}
 }
 
-func (m *Manager) inUse(name string) int {
+// inUse returns the requests under way at each server.
+func (m *Manager) inUse() map[string]int {
+	counts := make(map[string]int)
 	for _, line := range m.Registry.Lines() {
-		if line.Instance().Name == name {
-			return line.Candidate().InFlight
-		}
+		counts[line.Instance().Name] = line.Candidate().InFlight
 	}
-	return 0
+	return counts
 }
--- a/spokemember/duty.go
+++ b/spokemember/duty.go
@@ -8,7 +8,8 @@
 
 // standing returns the instances of this data centre among which duties are
 // shared out: the live ones that do not shut down, and the listed ones that
-// have not been tried yet. Without the latter, an instance that has just started would take all duties.
+// have not been tried yet. Without the latter, an instance that has just
+// started would take all duties.
 func (v *View) standing() []Identity {
 	now := v.Clock.Now()
 	identities := []Identity{v.Self}
--- a/spokeretry/budget.go
+++ b/spokeretry/budget.go
@@ -18,7 +18,6 @@
 	mutex  sync.Mutex
 	filled bool
 	tokens float64
-	denied int64
 }
 
 // Request counts a first try.
@@ -35,20 +34,12 @@
 	defer b.mutex.Unlock()
 	b.fill()
 	if b.tokens < 1 {
-		b.denied++
 		return false
 	}
 	b.tokens--
 	return true
 }
 
-// Denied returns how many retries were not allowed.
-func (b *Budget) Denied() int64 {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.denied
-}
-
 func (b *Budget) fill() {
 	if b.filled {
 		return
--- a/spokering/ring.go
+++ b/spokering/ring.go
@@ -49,6 +49,3 @@
 		return zero, false
 	}
 }
-
-// Len returns the number of items waiting.
-func (r *Ring[T]) Len() int { return len(r.slots) }
--- a/spokeserve/once.go
+++ b/spokeserve/once.go
@@ -20,7 +20,6 @@
 	sealTimeout   = spokeclock.Second
 	otherPolls    = 4
 	otherPause    = 150 * spokeclock.Millis(1)
-	replaceLimit  = 2
 	unknownReason = "the request may have run; a repeat with the same key does not run it again"
 )
 
--- a/spokeserve/plain.go
+++ b/spokeserve/plain.go
@@ -83,14 +83,12 @@
 // run sends the request the way its route asks for.
 func (c *call) run(ctx context.Context, path string) (spokeplain.Answer, *types.Refusal) {
 	timeout := c.visitor.service.Timeout.Duration()
-	if c.visitor.service.Idempotent(c.request.Method, "/"+path) {
+	idempotent := c.visitor.service.Idempotent(c.request.Method, "/"+path)
+	if idempotent || c.server.Switches.NoClaims {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return c.repeatable(ctx)
 	}
-	if c.server.Switches.NoClaims {
-		return c.unclaimed(ctx)
-	}
 	// The outcome has to be recorded even when the caller goes away.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
@@ -121,11 +119,6 @@
 	return spokeplain.Answer{}, unsure(KindServerFailed, retrySoon, "backend servers failed")
 }
 
-// unclaimed sends a request without a claim, as a plain proxy would.
-func (c *call) unclaimed(ctx context.Context) (spokeplain.Answer, *types.Refusal) {
-	return c.repeatable(ctx)
-}
-
 // reserve chooses a server and counts the request there, waiting a while for
 // one to be live.
 func (c *call) reserve(ctx context.Context) (*spokebackend.Work, *types.Refusal) {
--- a/spokesuspect/detector.go
+++ b/spokesuspect/detector.go
@@ -66,11 +66,6 @@
 	return silence > d.timeout()
 }
 
-// Silence returns the time since the peer was heard.
-func (d *Detector) Silence(now spokeclock.Millis) spokeclock.Millis {
-	return now - d.last
-}
-
 func (d *Detector) timeout() spokeclock.Millis {
 	if d.Timeout == 0 {
 		return defaultTimeout
