config: routes by host and path, allotments, engine facts and scaling

Cause: a platform's configuration names hosts and paths, keys by the workspace and rates that all instances share; the declaration knew services alone. Change: caller routes, limits, allotments, engine facts and scaling are items like the others; Store.Replace puts a whole declaration in force at a revision, so that peers still get deltas.

--- a/spokeconfig/check.go
+++ b/spokeconfig/check.go
@@ -128,8 +128,8 @@
 	c.that(s.TokenGapTarget >= 0, field+"token_gap_target_millis", s.TokenGapTarget, "zero or more")
 	c.that(s.Timeout >= 0, field+"timeout_millis", s.Timeout, "zero or more")
 	c.that(s.LongAnswerTokens >= 0, field+"long_answer_tokens", s.LongAnswerTokens, "zero or more")
-	routings := []Routing{"", RoutingScore, RoutingRoundRobin, RoutingLeastReported, RoutingTwoChoices}
-	c.that(slices.Contains(routings, s.Routing), field+"routing", fmt.Sprintf("%q", s.Routing), "score, round_robin, least_reported, two_choices")
+	routings := []Routing{"", RoutingScore, RoutingRoundRobin, RoutingLeastReported, RoutingTwoChoices, RoutingForecast}
+	c.that(slices.Contains(routings, s.Routing), field+"routing", fmt.Sprintf("%q", s.Routing), "score, round_robin, least_reported, two_choices, forecast")
 	c.that(s.LeastInstances >= 0, field+"least_instances", s.LeastInstances, "zero or more")
 	c.that(s.Kind == ServiceModel || !s.Managed, field+"managed", s.Managed, "managed only for model services")
 	c.that(s.Kind == ServicePlain || len(s.Routes) == 0, field+"routes", "set", "routes only on plain services")
--- a/spokeconfig/declaration.go
+++ b/spokeconfig/declaration.go
@@ -14,6 +14,11 @@
 	Workspaces []Workspace `json:"workspaces" yaml:"workspaces"`
 	// Prices are the costs of instances.
 	Prices []Price `json:"prices,omitempty" yaml:"prices"`
+	// CallerRoutes tell how requests are served that name a host and a path
+	// instead of a service.
+	CallerRoutes []CallerRoute `json:"caller_routes,omitempty" yaml:"caller_routes"`
+	// Limits bound what callers may send. Nil means the settings' limits.
+	Limits *CallerLimits `json:"limits,omitempty" yaml:"limits"`
 }
 
 // DataCentre is one place where instances run.
@@ -46,6 +51,8 @@
 	RoutingLeastReported Routing = "least_reported"
 	// RoutingTwoChoices takes the less loaded of two at random.
 	RoutingTwoChoices Routing = "two_choices"
+	// RoutingForecast takes the earliest expected first token.
+	RoutingForecast Routing = "forecast"
 )
 
 // Service is one service.
@@ -76,6 +83,10 @@
 	LeastInstances int `json:"least_instances,omitempty" yaml:"least_instances"`
 	// Routes mark which requests of a plain service are not idempotent.
 	Routes []Route `json:"routes,omitempty" yaml:"routes"`
+	// Engine is what is declared of its model engines.
+	Engine *EngineFacts `json:"engine,omitempty" yaml:"engine"`
+	// Scaling bounds and prices its instances. Nil means that none are ordered.
+	Scaling *Scaling `json:"scaling,omitempty" yaml:"scaling"`
 }
 
 // Route marks the requests of one method below one path.
@@ -94,14 +105,20 @@
 	Name string `json:"name" yaml:"name"`
 	// KeySHA256 is the hexadecimal SHA-256 of the workspace's key.
 	KeySHA256 string `json:"key_sha256" yaml:"key_sha256"`
+	// MoreKeys are the hashes of further keys.
+	MoreKeys []string `json:"more_keys_sha256,omitempty" yaml:"more_keys_sha256"`
 	// Priority orders workspaces under load, 1 (lowest) to 9. Zero means 5.
 	Priority int `json:"priority,omitempty" yaml:"priority"`
+	// Rank orders workspaces at model engines, 0 first.
+	Rank int `json:"rank,omitempty" yaml:"rank"`
 	// Share is the weight in a fair share of a full service. Zero means 1.
 	Share int `json:"share,omitempty" yaml:"share"`
 	// RequestRate limits requests for each second. Zero means no limit.
 	RequestRate float64 `json:"requests_per_second,omitempty" yaml:"requests_per_second"`
 	// TokenRate limits answer tokens for each second. Zero means no limit.
 	TokenRate float64 `json:"tokens_per_second,omitempty" yaml:"tokens_per_second"`
+	// Allotment is the rate that all entry instances share.
+	Allotment *Allotment `json:"allotment,omitempty" yaml:"allotment"`
 	// Concurrency limits requests at one time. Zero means no limit.
 	Concurrency int `json:"concurrent_requests,omitempty" yaml:"concurrent_requests"`
 	// OpaqueKeys accepts idempotency keys that carry no time. Their records
@@ -140,3 +157,28 @@
 	// Kind is what is wanted.
 	Kind MarkKind `json:"kind"`
 }
+
+// Allotment is a rate and a burst that all entry instances share.
+type Allotment struct {
+	// PerSecond is the rate, in tokens or requests.
+	PerSecond float64 `json:"per_second" yaml:"per_second"`
+	// Burst is what may be saved up, in tokens or requests.
+	Burst float64 `json:"burst" yaml:"burst"`
+	// CountsTokens says that requests count by their tokens.
+	CountsTokens bool `json:"counts_tokens,omitempty" yaml:"counts_tokens"`
+	// PlainTokens is what a request counts that declares no tokens.
+	PlainTokens float64 `json:"plain_tokens,omitempty" yaml:"plain_tokens"`
+}
+
+// Cost returns what a request with so many declared tokens counts. Zero
+// tokens mean that it declares none.
+func (a *Allotment) Cost(tokens int) float64 {
+	switch {
+	case !a.CountsTokens:
+		return 1
+	case tokens == 0:
+		return a.PlainTokens
+	default:
+		return float64(tokens)
+	}
+}
--- a/spokeconfig/item.go
+++ b/spokeconfig/item.go
@@ -38,6 +38,8 @@
 	kindWorkspace  = "workspace/"
 	kindPrice      = "price/"
 	kindMark       = "mark/"
+	kindRoute      = "route/"
+	kindLimits     = "limits/"
 )
 
 // Items cuts a declaration into items without revisions, in order.
@@ -62,6 +64,12 @@
 	for _, price := range d.Prices {
 		add(kindPrice+price.DataCentre+"."+price.MachineClass, price)
 	}
+	for i := range d.CallerRoutes {
+		add(kindRoute+d.CallerRoutes[i].Name, &d.CallerRoutes[i])
+	}
+	if d.Limits != nil {
+		add(kindLimits, d.Limits)
+	}
 	return items
 }
 
@@ -137,6 +145,7 @@
 func collect(items []Item) (Declaration, []Mark, error) {
 	declaration := Declaration{Version: formatVersion}
 	var marks []Mark
+	var limits []CallerLimits
 	for _, item := range items {
 		if len(item.Value) == 0 {
 			continue
@@ -153,11 +162,18 @@
 			err = appendItem(item, &declaration.Prices)
 		case kindMark:
 			err = appendItem(item, &marks)
+		case kindRoute:
+			err = appendItem(item, &declaration.CallerRoutes)
+		case kindLimits:
+			err = appendItem(item, &limits)
 		}
 		if err != nil {
 			return Declaration{}, nil, err
 		}
 	}
+	if len(limits) > 0 {
+		declaration.Limits = &limits[0]
+	}
 	return declaration, marks, nil
 }
 
--- a/spokeconfig/snapshot.go
+++ b/spokeconfig/snapshot.go
@@ -16,6 +16,7 @@
 	services    map[string]*Service
 	byKey       map[string]*Workspace
 	marks       map[string]MarkKind
+	routes      routeIndex
 }
 
 func newSnapshot(revision Revision, declaration Declaration, marks []Mark) *Snapshot {
@@ -25,6 +26,7 @@
 		services:    make(map[string]*Service),
 		byKey:       make(map[string]*Workspace),
 		marks:       make(map[string]MarkKind),
+		routes:      indexRoutes(declaration.CallerRoutes),
 	}
 	for i := range declaration.Services {
 		service := &declaration.Services[i]
@@ -34,7 +36,9 @@
 	for i := range declaration.Workspaces {
 		workspace := &declaration.Workspaces[i]
 		fillWorkspace(workspace)
-		s.byKey[strings.ToLower(workspace.KeySHA256)] = workspace
+		for _, hash := range append(workspace.MoreKeys, workspace.KeySHA256) {
+			s.byKey[strings.ToLower(hash)] = workspace
+		}
 	}
 	for _, mark := range marks {
 		s.marks[mark.Instance] = mark.Kind
--- a/spokeconfig/store.go
+++ b/spokeconfig/store.go
@@ -38,6 +38,10 @@
 func (s *Store) Merge(delta Delta) (bool, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	return s.merge(delta)
+}
+
+func (s *Store) merge(delta Delta) (bool, error) {
 	if delta.To <= s.revision {
 		return false, nil
 	}
@@ -63,6 +67,20 @@
 	return true, nil
 }
 
+// Replace puts a whole declaration in force at a revision and reports whether
+// it was newer than the one held. Its errors are those of Merge.
+func (s *Store) Replace(revision Revision, declaration Declaration) (bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delta := Delta{From: s.revision, To: revision}
+	for _, change := range Diff(ordered(s.items), declaration.Items()) {
+		item := change.Item()
+		item.Revision = revision
+		delta.Items = append(delta.Items, item)
+	}
+	return s.merge(delta)
+}
+
 // Since returns what changed behind a revision.
 func (s *Store) Since(from Revision) Delta {
 	s.mutex.Lock()
