lease: function seams for the table, and a quiet start

Cause: a lease held a concrete table client, and a duty could go from A to B and back to A within a few seconds when processes are stopped in turn. Change: ReadFunc and TransactFunc; Quiet is the time in which a new holder does nothing yet. Conclusion: TestLeases passes unchanged but for the seams.

--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -189,7 +189,7 @@
 // contends.
 func (e *Entry) lease(table *spoketable.Table, duty string, delivery spokeclock.Millis) *spokelease.Lease {
 	return &spokelease.Lease{
-		Table: table, Name: duty, Holder: e.Settings.Name, Delivery: delivery,
+		ReadFunc: table.Read, TransactFunc: table.Transact, Name: duty, Holder: e.Settings.Name, Delivery: delivery,
 		EligibleFunc: func() bool { return e.view.Watches("duty/" + duty) },
 		Log:          e.Logs.Part("lease"),
 	}
--- a/spokelease/lease.go
+++ b/spokelease/lease.go
@@ -37,8 +37,10 @@
 
 // Lease is one process's claim on a duty. Set its fields before Run.
 type Lease struct {
-	// Table keeps the row.
-	Table *spoketable.Table
+	// ReadFunc reads rows of the table that keeps the lease.
+	ReadFunc func(ctx context.Context, keys ...string) ([]spoketable.Row, error)
+	// TransactFunc tries a transaction on that table once.
+	TransactFunc func(ctx context.Context, transaction spoketable.Transaction) (spoketable.Outcome, error)
 	// Clock tells the time. Nil means the real one.
 	Clock *spokeclock.Clock
 	// Name names the duty.
@@ -50,6 +52,9 @@
 	// Delivery is the longest time an order takes to reach a server. A
 	// successor waits it out after the term.
 	Delivery spokeclock.Millis
+	// Quiet is how long a new holder does nothing yet, so that the duty cannot
+	// go back and forth within that time. Zero means that it acts at once.
+	Quiet spokeclock.Millis
 	// EligibleFunc reports whether this process should contend for the lease
 	// while it does not hold it, so that few read its row. Nil means always.
 	EligibleFunc func() bool
@@ -59,6 +64,7 @@
 	mutex       sync.Mutex
 	fence       Fence
 	heldUntil   spokeclock.Millis
+	actsFrom    spokeclock.Millis
 	seenVersion spoketable.Version
 	seenAt      spokeclock.Millis
 	renewal     int64
@@ -79,15 +85,23 @@
 func (l *Lease) Held() (Fence, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.fence, l.Clock.Now() < l.heldUntil
+	now := l.Clock.Now()
+	return l.fence, now >= l.actsFrom && now < l.heldUntil
+}
+
+// holds reports whether the lease is held, also while the holder is quiet.
+func (l *Lease) holds() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.Clock.Now() < l.heldUntil
 }
 
 func (l *Lease) step(ctx context.Context) {
-	if _, held := l.Held(); !held && l.EligibleFunc != nil && !l.EligibleFunc() {
+	if !l.holds() && l.EligibleFunc != nil && !l.EligibleFunc() {
 		return
 	}
 	started := l.Clock.Now()
-	rows, err := l.Table.Read(ctx, keyPrefix+l.Name)
+	rows, err := l.ReadFunc(ctx, keyPrefix+l.Name)
 	if err != nil {
 		return
 	}
@@ -134,7 +148,7 @@
 
 func (l *Lease) write(ctx context.Context, old Record, version spoketable.Version, started spokeclock.Millis) {
 	next := l.successor(old, started)
-	outcome, err := l.Table.Transact(ctx, spoketable.Transaction{
+	outcome, err := l.TransactFunc(ctx, spoketable.Transaction{
 		Conditions: []spoketable.Condition{{Key: keyPrefix + l.Name, Version: version}},
 		Writes:     []spoketable.Write{spoketable.Encode(keyPrefix+l.Name, next)},
 	})
@@ -144,6 +158,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if next.Fence != l.fence {
+		l.actsFrom = started + l.Quiet
 		l.Log.Info().Str("lease", l.Name).Int64("fence", int64(next.Fence)).Msg("Lease acquired.")
 	}
 	l.fence = next.Fence
@@ -164,8 +179,9 @@
 }
 
 func (l *Lease) release() {
-	fence, held := l.Held()
+	held := l.holds()
 	l.mutex.Lock()
+	fence := l.fence
 	l.heldUntil = 0
 	l.mutex.Unlock()
 	if !held {
@@ -173,7 +189,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), spokeclock.Second.Duration())
 	defer cancel()
-	rows, err := l.Table.Read(ctx, keyPrefix+l.Name)
+	rows, err := l.ReadFunc(ctx, keyPrefix+l.Name)
 	if err != nil {
 		return
 	}
@@ -182,7 +198,7 @@
 		return
 	}
 	record.Holder = ""
-	_, err = l.Table.Transact(ctx, spoketable.Transaction{
+	_, err = l.TransactFunc(ctx, spoketable.Transaction{
 		Conditions: []spoketable.Condition{{Key: keyPrefix + l.Name, Version: rows[0].Version}},
 		Writes:     []spoketable.Write{spoketable.Encode(keyPrefix+l.Name, record)},
 	})
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -50,7 +50,7 @@
 	leases := make(map[string]*spokelease.Lease)
 	for _, name := range []string{"a", "b"} {
 		leases[name] = &spokelease.Lease{
-			Table: table, Clock: clock.Clock(), Name: "duty", Holder: name, Term: 6000, Delivery: 2000, Log: zerolog.Nop(),
+			ReadFunc: table.Read, TransactFunc: table.Transact, Clock: clock.Clock(), Name: "duty", Holder: name, Term: 6000, Delivery: 2000, Log: zerolog.Nop(),
 		}
 	}
 	set := func(faults spokestandin.Faults) {
