route: forecast the first token, and share what it needs

Cause: a choice knew requests in flight only. Prompts of thousands of tokens delay everything beside them, and a yes or no about a cached prefix does not tell what it saves. Ruled out: asking engines for their reports, which lag and cost calls. Change: the forecast policy counts unread prompt tokens, running requests and the shared beginning, whose home all instances get from rendezvous hashing. Heartbeats carry unread prompts and growing counters; peers of all data centres are linked to up to a limit. A list may be final, a server's runs are told apart by generation, and the median between tokens is kept for 200 ms instead of being sorted for each choice.

--- a/spokebackend/peeruse.go
+++ b/spokebackend/peeruse.go
@@ -26,6 +26,9 @@
 	if s.load.Slots > 0 {
 		return s.load.Slots
 	}
+	if s.instance.Slots > 0 {
+		return s.instance.Slots
+	}
 	if slots := r.slots[IDOf(s.instance.Name)]; slots > 0 {
 		return slots
 	}
@@ -57,6 +60,7 @@
 	sum := r.byID[id]
 	sum.All += after.All - before.All
 	sum.Long += after.Long - before.Long
+	sum.Unread += after.Unread - before.Unread
 	r.byID[id] = sum
 	if sum == (Use{}) {
 		delete(r.byID, id)
@@ -80,7 +84,7 @@
 	uses := make(map[ID]Use)
 	for name, s := range r.servers {
 		if s.own > 0 {
-			uses[IDOf(name)] = Use{All: s.own, Long: s.ownLong}
+			uses[IDOf(name)] = Use{All: s.own, Long: s.ownLong, Unread: (s.unread + unreadUnit - 1) / unreadUnit}
 		}
 	}
 	return uses
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -27,16 +27,28 @@
 	DataCentre string
 	// Clock tells the time. Nil means the real one.
 	Clock *spokeclock.Clock
+	// ListIsFinal says that the list is to be believed at once: what it leaves
+	// out takes no new work, and what it names again does.
+	ListIsFinal bool
 	// LongFunc, if set, is called when a long answer begins or ends here.
 	LongFunc func()
 
 	mutex   sync.Mutex
 	servers map[string]*server
-	left    map[string]spokeclock.Millis
+	left    map[string]departed
 	cancels map[string]map[*Work]func(Departure)
 	byPeer  map[string]map[ID]Use
 	byID    map[ID]Use
 	slots   map[ID]int
+	medians map[string]median
+	// answered is when a server of each data centre last answered well.
+	answered map[string]spokeclock.Millis
+}
+
+// departed is a server that has left: which run of it, and when.
+type departed struct {
+	generation int64
+	at         spokeclock.Millis
 }
 
 // Learn takes in the platform's list. Servers that are no longer listed are
@@ -45,14 +57,14 @@
 	r.mutex.Lock()
 	leaving := r.learn(instances)
 	r.mutex.Unlock()
-	for _, name := range leaving {
-		r.Leave(name, Departure{Source: SourceList})
+	for _, instance := range leaving {
+		r.Leave(instance.Name, Departure{Source: SourceList, Left: instance.Left})
 	}
 }
 
-func (r *Registry) learn(instances []spokecloud.Instance) []string {
+func (r *Registry) learn(instances []spokecloud.Instance) []spokecloud.Instance {
 	r.fill()
-	var leaving []string
+	var leaving []spokecloud.Instance
 	listed := make(map[string]struct{}, len(instances))
 	for _, instance := range instances {
 		if instance.Role != spokecloud.RoleBackend {
@@ -61,7 +73,7 @@
 		listed[instance.Name] = struct{}{}
 		s := r.admit(instance)
 		if s != nil && instance.State == spokecloud.StateLeaving {
-			leaving = append(leaving, instance.Name)
+			leaving = append(leaving, instance)
 		}
 	}
 	r.drop(listed)
@@ -73,20 +85,21 @@
 		return
 	}
 	r.servers = make(map[string]*server)
-	r.left = make(map[string]spokeclock.Millis)
+	r.left = make(map[string]departed)
 	r.cancels = make(map[string]map[*Work]func(Departure))
 	r.byPeer = make(map[string]map[ID]Use)
 	r.byID = make(map[ID]Use)
 	r.slots = make(map[ID]int)
+	r.answered = make(map[string]spokeclock.Millis)
 }
 
 // admit adds or updates a listed server, unless it is known to have left.
 func (r *Registry) admit(instance spokecloud.Instance) *server {
-	if _, gone := r.left[instance.Name]; gone {
+	if gone, left := r.left[instance.Name]; left && instance.Generation <= gone.generation {
 		return nil
 	}
 	s, known := r.servers[instance.Name]
-	if !known {
+	if !known || instance.Generation > s.instance.Generation {
 		s = &server{trust: 1}
 		r.servers[instance.Name] = s
 	}
@@ -107,17 +120,17 @@
 		if s.unlisted == 0 {
 			s.unlisted = now
 		}
-		if s.own > 0 || (doubtful[s.instance.Service] && s.mayBeLive(now)) {
+		if s.own > 0 || (!r.ListIsFinal && doubtful[s.instance.Service] && s.mayBeLive(now)) {
 			continue
 		}
 		if s.leaving != "" {
-			r.left[name] = now
+			r.left[name] = departed{generation: s.instance.Generation, at: now}
 		}
 		delete(r.servers, name)
 	}
-	for name, at := range r.left {
+	for name, gone := range r.left {
 		_, still := listed[name]
-		if !still && now-at > forgetAfter {
+		if !still && now-gone.at > forgetAfter {
 			delete(r.left, name)
 		}
 	}
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -61,6 +61,7 @@
 	unlisted spokeclock.Millis
 	own      int
 	ownLong  int
+	unread   int
 	load     spokeengine.Load
 	loadAt   spokeclock.Millis
 	gap      float64
@@ -89,8 +90,14 @@
 	All int `json:"all"`
 	// Long counts those of them with long answers.
 	Long int `json:"long"`
+	// Unread is how much of their prompts the server has yet to read, in units
+	// of 256 tokens.
+	Unread int `json:"unread,omitempty"`
 }
 
+// unreadUnit is the number of tokens that Use counts as one.
+const unreadUnit = 256
+
 // mayBeLive reports whether nothing but the list speaks against an unlisted
 // server.
 func (s *server) mayBeLive(now spokeclock.Millis) bool {
@@ -106,6 +113,14 @@
 
 const suspensionDoublings = 4
 
+// fill leaves a server alone for a moment that has no room.
+func (s *server) fill(now spokeclock.Millis) {
+	s.idleTill = max(s.idleTill, now+fullFor)
+}
+
+// fullFor is about the time in which a full server ends one of its requests.
+const fullFor = 150 * spokeclock.Millis(1)
+
 func (s *server) succeed() {
 	s.failures = 0
 	s.idleTill = 0
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -58,9 +58,9 @@
 	slowness := s.slowness(median, now)
 	s.retrust(slowness, now)
 	return spokeroute.Candidate{
-		Name:      s.instance.Name,
+		Name: s.instance.Name, DataCentre: s.instance.DataCentre,
 		Local:     s.instance.DataCentre == r.DataCentre,
-		Leaving:   s.leaving != "",
+		Leaving:   r.takesNoWork(s),
 		Suspended: now < s.idleTill,
 		Slots:     r.slotsOf(s),
 		InFlight:  s.own + peers.All,
@@ -69,11 +69,47 @@
 		ReportAge: now - s.loadAt,
 		Slowness:  slowness,
 		Trust:     s.trust,
+		Unread:    s.unread + peers.Unread*unreadUnit,
 	}
 }
 
+// Answered returns when a server of a data centre last answered well, or zero.
+func (r *Registry) Answered(dataCentre string) spokeclock.Millis {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.answered[dataCentre]
+}
+
+// takesNoWork reports whether a server gets no new requests.
+func (r *Registry) takesNoWork(s *server) bool {
+	return s.leaving != "" || (r.ListIsFinal && s.unlisted > 0)
+}
+
+// medianAge is how old a median may be. Sorting a large service's servers for
+// each choice would take longer than the choice.
+const medianAge = 200 * spokeclock.Millis(1)
+
+// median is the median time between tokens at some moment.
+type median struct {
+	gap float64
+	at  spokeclock.Millis
+}
+
 // medianGap returns the median time between tokens of a service's servers.
 func (r *Registry) medianGap(service string) float64 {
+	now := r.Clock.Now()
+	if held, known := r.medians[service]; known && now-held.at < medianAge {
+		return held.gap
+	}
+	if r.medians == nil {
+		r.medians = make(map[string]median)
+	}
+	gap := r.sortGaps(service)
+	r.medians[service] = median{gap: gap, at: now}
+	return gap
+}
+
+func (r *Registry) sortGaps(service string) float64 {
 	var gaps []float64
 	for _, s := range r.servers {
 		if s.instance.Service == service && s.gapAt > 0 {
@@ -94,7 +130,7 @@
 	now := r.Clock.Now()
 	var c Capacity
 	for _, s := range r.servers {
-		if s.instance.Service != service || s.leaving != "" || now < s.idleTill {
+		if s.instance.Service != service || r.takesNoWork(s) || now < s.idleTill {
 			continue
 		}
 		c.live++
--- a/spokebackend/work.go
+++ b/spokebackend/work.go
@@ -8,9 +8,11 @@
 // Work is one attempt under way at a server. It is used by one goroutine.
 type Work struct {
 	registry *Registry
+	server   *server
 	instance spokecloud.Instance
 	long     bool
 	lastAt   spokeclock.Millis
+	unread   int
 	ended    bool
 }
 
@@ -35,14 +37,14 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, known := r.servers[name]
-	if !known || s.leaving != "" {
+	if !known || r.takesNoWork(s) {
 		return nil, false
 	}
 	s.own++
 	if long {
 		s.ownLong++
 	}
-	w := &Work{registry: r, instance: s.instance, long: long, lastAt: r.Clock.Now()}
+	w := &Work{registry: r, server: s, instance: s.instance, long: long, lastAt: r.Clock.Now()}
 	if r.cancels[name] == nil {
 		r.cancels[name] = make(map[*Work]func(Departure))
 	}
@@ -53,15 +55,32 @@
 // Instance returns the server's line of the list.
 func (w *Work) Instance() spokecloud.Instance { return w.instance }
 
+// Reads notes that the server has to read so many tokens of a prompt before
+// the first one of its answer comes.
+func (w *Work) Reads(tokens int) {
+	w.registry.mutex.Lock()
+	defer w.registry.mutex.Unlock()
+	w.unread += tokens
+	w.server.unread += tokens
+}
+
+// hasRead notes that the whole prompt has been read. The registry is locked.
+func (w *Work) hasRead() {
+	w.server.unread -= w.unread
+	w.unread = 0
+}
+
 // Token notes that a token came.
 func (w *Work) Token(first bool) {
 	r := w.registry
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	s, known := r.servers[w.instance.Name]
-	if known && !first {
-		s.observeGap(now-w.lastAt, now)
+	r.answered[w.instance.DataCentre] = now
+	if first {
+		w.hasRead()
+	} else {
+		w.server.observeGap(now-w.lastAt, now)
 	}
 	w.lastAt = now
 }
@@ -72,9 +91,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	if s, known := r.servers[w.instance.Name]; known {
-		s.observeGap(now-w.lastAt, now)
-	}
+	w.server.observeGap(now-w.lastAt, now)
 }
 
 // Slowness returns the server's time for a token against the median of its
@@ -83,11 +100,7 @@
 	r := w.registry
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	s, known := r.servers[w.instance.Name]
-	if !known {
-		return 1
-	}
-	return s.slowness(r.medianGap(w.instance.Service), r.Clock.Now())
+	return w.server.slowness(r.medianGap(w.instance.Service), r.Clock.Now())
 }
 
 // Succeed ends the attempt with a whole answer.
@@ -100,6 +113,11 @@
 	w.end(func(s *server) { s.fail(w.registry.Clock.Now()) })
 }
 
+// Refused ends the attempt with a server that had no room.
+func (w *Work) Refused() {
+	w.end(func(s *server) { s.fill(w.registry.Clock.Now()) })
+}
+
 // Leave ends the attempt without a verdict on the server.
 func (w *Work) Leave() {
 	w.end(func(*server) {})
@@ -121,13 +139,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.cancels[w.instance.Name], w)
-	s, known := r.servers[w.instance.Name]
-	if !known {
-		return
-	}
-	s.own--
+	w.hasRead()
+	w.server.own--
 	if w.long {
-		s.ownLong--
+		w.server.ownLong--
 	}
-	verdict(s)
+	verdict(w.server)
 }
--- a/spokeclock/clock.go
+++ b/spokeclock/clock.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is an instant since the start of the process or a span of time, in
@@ -45,6 +47,31 @@
 	return Of(time.Since(processStart))
 }
 
+// Boot returns a clock that goes on while the machine is suspended. Leases need
+// it: the store's time does not stop with this machine's.
+func Boot() *Clock {
+	start := bootTime()
+	return &Clock{NowFunc: func() Millis { return bootTime() - start }}
+}
+
+// bootTime falls back to the process's own time where the system has no such
+// clock.
+func bootTime() Millis {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return Of(time.Since(processStart))
+	}
+	return Of(time.Duration(now.Nano()))
+}
+
+// SteadyWall returns a function that tells the time since the Unix epoch as it
+// was when the process started, carried on by a clock that does not jump.
+func SteadyWall() func() Millis {
+	clock := Boot()
+	start := Wall() - clock.Now()
+	return func() Millis { return start + clock.Now() }
+}
+
 // Wall returns the time since the Unix epoch, for records that outlive a
 // process. Nothing is decided by comparing the walls of two processes.
 func Wall() Millis {
--- a/spokecloud/message.go
+++ b/spokecloud/message.go
@@ -40,6 +40,13 @@
 	MachineClass string `json:"machine_class,omitempty"`
 	// Reclaimable says that the platform may take it back.
 	Reclaimable bool `json:"reclaimable,omitempty"`
+	// Slots is how many requests it runs at once. Zero means that only its own
+	// reports tell.
+	Slots int `json:"slots,omitempty"`
+	// Generation tells the runs of a name apart; a later one is greater.
+	Generation int64 `json:"generation,omitempty"`
+	// Left is the time until a leaving instance is gone. Zero means unknown.
+	Left spokeclock.Millis `json:"left_millis,omitempty"`
 }
 
 // Instances is the whole list.
--- a/spokemember/duty.go
+++ b/spokemember/duty.go
@@ -37,10 +37,11 @@
 	local := v.standing()
 	others := make(map[string][]Identity)
 	var targets []Identity
+	meshed := len(v.peers) <= v.MeshLimit
 	for _, p := range v.peers {
 		switch {
 		case p.identity.Address == "" || (!p.listed && !p.heard):
-		case p.identity.DataCentre == v.Self.DataCentre:
+		case meshed || p.identity.DataCentre == v.Self.DataCentre:
 			targets = append(targets, p.identity)
 		default:
 			others[p.identity.DataCentre] = append(others[p.identity.DataCentre], p.identity)
@@ -88,6 +89,13 @@
 	}
 }
 
+// Contends reports whether this instance is one of the two among everyone that
+// contend for a duty of the whole deployment.
+func (v *View) Contends(duty string) bool {
+	chosen := rendezvous(duty, v.Everyone())
+	return slices.ContainsFunc(chosen[:min(contenders, len(chosen))], func(i Identity) bool { return i.Name == v.Self.Name })
+}
+
 // Watches reports whether this instance is the one of its data centre that
 // has the duty of that name, such as to watch a backend server.
 func (v *View) Watches(duty string) bool {
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -15,6 +15,9 @@
 	// gateways is how many instances of a data centre keep links to another
 	// data centre, and how many of that one each keeps links to.
 	gateways = 2
+	// contenders is how many instances contend for a duty of the whole
+	// deployment: one and a successor.
+	contenders = 2
 	// placeTimeout is the age from which a data centre counts as unreachable.
 	placeTimeout = 5 * spokeclock.Second
 	// forgetAfter is how long an unlisted, silent peer is remembered.
@@ -34,6 +37,10 @@
 	Self Identity
 	// Clock tells the time. Nil means the real one.
 	Clock *spokeclock.Clock
+	// MeshLimit is the number of peers up to which all are linked to, whatever
+	// their data centre. Zero means that other data centres are reached through
+	// gateways only.
+	MeshLimit int
 	// Method is the way to suspect a peer. Empty means a timeout.
 	Method spokesuspect.Method
 
@@ -175,6 +182,44 @@
 	return identities
 }
 
+// Everyone returns the live instances of all data centres that are linked to,
+// this one included, ordered by name.
+func (v *View) Everyone() []Identity {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.Clock.Now()
+	identities := []Identity{v.Self}
+	for _, p := range v.peers {
+		if p.live(now) && !p.draining {
+			identities = append(identities, p.identity)
+		}
+	}
+	slices.SortFunc(identities, func(a, b Identity) int { return strings.Compare(a.Name, b.Name) })
+	return identities
+}
+
+// Reachable reports whether a data centre can be reached: it is this instance's
+// own, one of its instances is live, or none has ever been heard.
+func (v *View) Reachable(dataCentre string) bool {
+	if dataCentre == v.Self.DataCentre {
+		return true
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.Clock.Now()
+	heard := false
+	for _, p := range v.peers {
+		if p.identity.DataCentre != dataCentre || !p.heard {
+			continue
+		}
+		if p.live(now) {
+			return true
+		}
+		heard = true
+	}
+	return !heard
+}
+
 // Silent returns the peers that are suspected, by name.
 func (v *View) Silent() []string {
 	v.mutex.Lock()
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"slices"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -11,6 +10,7 @@
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 )
 
@@ -40,6 +40,7 @@
 
 	sentInterval spokeclock.Millis
 	sentSlots    map[spokebackend.ID]int
+	sentCounts   map[string]int64
 }
 
 func (l *link) wake() {
@@ -68,7 +69,7 @@
 
 // session reports whether the link was opened.
 func (l *link) session(ctx context.Context) bool {
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+	dialer := spokehttp.Dialer(dialTimeout)
 	conn, err := dialer.DialContext(ctx, "tcp", l.target.Address)
 	if err != nil {
 		return false
@@ -97,6 +98,7 @@
 	l.node.greeted.Store(true)
 	l.sentInterval = 0
 	l.sentSlots = make(map[spokebackend.ID]int)
+	l.sentCounts = make(map[string]int64)
 	l.sentUses = make(map[spokebackend.ID]spokebackend.Use)
 	l.sentLeaving = make(map[string]struct{})
 	l.sentPlaces = make(map[string]spokemember.Place)
@@ -146,9 +148,27 @@
 		Slots:    l.newSlots(),
 		Leaving:  l.newLeaving(),
 		Places:   l.somePlaces(revision),
+		Counts:   l.changedCounts(),
 	}
 }
 
+// changedCounts returns the counters that changed since the last heartbeat of
+// the link.
+func (l *link) changedCounts() map[string]int64 {
+	if l.node.CountsFunc == nil {
+		return nil
+	}
+	current := l.node.CountsFunc()
+	changed := make(map[string]int64)
+	for key, count := range current {
+		if l.sentCounts[key] != count {
+			changed[key] = count
+		}
+	}
+	l.sentCounts = current
+	return changed
+}
+
 // changedInterval returns the time between heartbeats if it has changed since
 // the last one of the link, or zero.
 func (l *link) changedInterval() spokeclock.Millis {
--- a/spokepeer/message.go
+++ b/spokepeer/message.go
@@ -43,6 +43,8 @@
 	Leaving map[string]spokeclock.Millis `json:"leaving,omitempty"`
 	// Places are summaries of data centres.
 	Places []spokemember.Place `json:"places,omitempty"`
+	// Counts are the instance's own counters, where changed.
+	Counts map[string]int64 `json:"counts,omitempty"`
 }
 
 // ConfigRequest asks for what changed behind a revision.
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -56,6 +56,15 @@
 	Registry *spokebackend.Registry
 	// AttemptFunc answers what this process knows of an attempt.
 	AttemptFunc func(attempt string) spokeclaim.State
+	// CountsFunc returns this process's counters, which only grow. Nil means
+	// that it shares none.
+	CountsFunc func() map[string]int64
+	// TakeCountsFunc takes in the counters of one run of a peer that have
+	// changed.
+	TakeCountsFunc func(peer string, generation int64, counts map[string]int64)
+	// Base is the time between heartbeats on each of a few links. Zero means
+	// 500 ms.
+	Base spokeclock.Millis
 	// Listener takes peers' links. Run closes it.
 	Listener net.Listener
 	// Log takes the log lines.
@@ -93,7 +102,11 @@
 // heartbeatInterval returns the time between two heartbeats on a link. It
 // grows with the number of links, so that the cost of all of them is bounded.
 func (n *Node) heartbeatInterval() spokeclock.Millis {
-	return max(heartbeatBase, heartbeatBase*spokeclock.Millis(n.wanted.Load())/heartbeatLinks)
+	base := n.Base
+	if base == 0 {
+		base = heartbeatBase
+	}
+	return max(base, base*spokeclock.Millis(n.wanted.Load())/heartbeatLinks)
 }
 
 // Confirmed reports whether a peer has said how new its configuration is, or
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -12,8 +12,9 @@
 
 // session is one connection's incoming side.
 type session struct {
-	node *Node
-	peer string
+	node       *Node
+	peer       string
+	generation int64
 }
 
 // handle serves one request or notification. Requests of one connection come
@@ -51,6 +52,7 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "an older run of the instance"}
 	}
 	s.peer = hello.Identity.Name
+	s.generation = hello.Identity.Generation
 	s.node.View.TakePlaces(hello.Places)
 	return s.node.hello(), nil
 }
@@ -67,6 +69,9 @@
 	n.View.Heartbeat(s.peer, h.Revision, h.Draining, h.Interval)
 	n.View.TakePlaces(h.Places)
 	n.Registry.TakePeerUse(s.peer, h.Uses)
+	if n.TakeCountsFunc != nil && len(h.Counts) > 0 {
+		n.TakeCountsFunc(s.peer, s.generation, h.Counts)
+	}
 	for id, slots := range h.Slots {
 		n.Registry.TakeSlots(id, slots.All)
 	}
--- a/spokepeer/uses.go
+++ b/spokepeer/uses.go
@@ -12,8 +12,8 @@
 
 // Uses are requests under way by backend server. Their JSON form is a string:
 // for each server in the order of IDs, the ID's distance from the one before,
-// all requests, and those with long answers, as variable-length numbers in
-// base 64. With names and field names it would be seven times as long.
+// all requests, those with long answers and the unread prompts, as
+// variable-length numbers in base 64. With names and field names it would be seven times as long.
 type Uses map[spokebackend.ID]spokebackend.Use
 
 var errUses = errors.New("uses are cut short")
@@ -35,14 +35,55 @@
 	return json.Marshal(base64.RawStdEncoding.EncodeToString(packed))
 }
 
-// appendUse adds the count of all, doubled, and one more when a count of long
-// ones follows.
+const (
+	longFollows   = 1
+	unreadFollows = 2
+	flagBits      = 2
+)
+
+// appendUse adds the count of all, behind two bits that tell which of the other
+// counts follow.
 func appendUse(packed []byte, use spokebackend.Use) []byte {
-	if use.Long == 0 {
-		return binary.AppendUvarint(packed, uint64(use.All)*2)
+	flags := uint64(0)
+	if use.Long != 0 {
+		flags |= longFollows
+	}
+	if use.Unread != 0 {
+		flags |= unreadFollows
+	}
+	packed = binary.AppendUvarint(packed, uint64(use.All)<<flagBits|flags)
+	if use.Long != 0 {
+		packed = binary.AppendUvarint(packed, uint64(use.Long))
+	}
+	if use.Unread != 0 {
+		packed = binary.AppendUvarint(packed, uint64(use.Unread))
+	}
+	return packed
+}
+
+// takeUse reads what appendUse wrote.
+func takeUse(packed []byte) (spokebackend.Use, []byte, error) {
+	var use spokebackend.Use
+	all, packed, err := takeNumber(packed)
+	if err != nil {
+		return use, nil, err
+	}
+	use.All = int(all >> flagBits)
+	if all&longFollows != 0 {
+		var long uint64
+		if long, packed, err = takeNumber(packed); err != nil {
+			return use, nil, err
+		}
+		use.Long = int(long)
 	}
-	packed = binary.AppendUvarint(packed, uint64(use.All)*2+1)
-	return binary.AppendUvarint(packed, uint64(use.Long))
+	if all&unreadFollows != 0 {
+		var unread uint64
+		if unread, packed, err = takeNumber(packed); err != nil {
+			return use, nil, err
+		}
+		use.Unread = int(unread)
+	}
+	return use, packed, nil
 }
 
 // UnmarshalJSON reads the string form.
@@ -58,20 +99,17 @@
 	*u = make(Uses)
 	last := spokebackend.ID(0)
 	for len(packed) > 0 {
-		var id, all, long uint64
-		if id, packed, err = takeNumber(packed); err != nil {
+		id, rest, err := takeNumber(packed)
+		if err != nil {
 			return err
 		}
-		if all, packed, err = takeNumber(packed); err != nil {
+		use, rest, err := takeUse(rest)
+		if err != nil {
 			return err
 		}
-		if all%2 == 1 {
-			if long, packed, err = takeNumber(packed); err != nil {
-				return err
-			}
-		}
+		packed = rest
 		last += spokebackend.ID(id)
-		(*u)[last] = spokebackend.Use{All: int(all / 2), Long: int(long)}
+		(*u)[last] = use
 	}
 	return nil
 }
--- a/spokepeer/uses_test.go
+++ b/spokepeer/uses_test.go
@@ -17,7 +17,7 @@
 		uses := spokepeer.Uses{}
 		for range rapid.IntRange(0, 50).Draw(t, "servers") {
 			id := spokebackend.IDOf(rapid.String().Draw(t, "name"))
-			uses[id] = spokebackend.Use{All: rapid.IntRange(0, 1<<20).Draw(t, "all"), Long: rapid.IntRange(0, 1<<20).Draw(t, "long")}
+			uses[id] = spokebackend.Use{All: rapid.IntRange(0, 1<<20).Draw(t, "all"), Long: rapid.IntRange(0, 1<<20).Draw(t, "long"), Unread: rapid.IntRange(0, 1<<20).Draw(t, "unread")}
 		}
 		text, err := json.Marshal(uses)
 		require.NoError(t, err)
--- a/spokeroute/candidate.go
+++ b/spokeroute/candidate.go
@@ -6,6 +6,8 @@
 type Candidate struct {
 	// Name names the backend server.
 	Name string
+	// DataCentre is where it runs.
+	DataCentre string
 	// Local says that it is in the chooser's own data centre.
 	Local bool
 	// Leaving says that it takes no new work.
@@ -29,6 +31,10 @@
 	Trust float64
 	// Cached says that it probably holds the request's prefix.
 	Cached bool
+	// Unread is how many prompt tokens it has yet to read.
+	Unread int
+	// CutOff says that its data centre cannot be reached.
+	CutOff bool
 }
 
 // Request is what matters of a request for a choice.
@@ -37,6 +43,12 @@
 	Long bool
 	// Avoid names servers already tried.
 	Avoid []string
+	// Prompt is the number of prompt tokens.
+	Prompt int
+	// Shared is how many of them begin other requests' prompts too.
+	Shared int
+	// Affinity is the key of that beginning. Zero means none.
+	Affinity uint64
 }
 
 // Reason tells why a server was chosen, or why none was.
@@ -55,6 +67,8 @@
 	ReasonLeastReported Reason = "least_reported"
 	// ReasonTwoChoices is the less loaded of two.
 	ReasonTwoChoices Reason = "two_choices"
+	// ReasonEarliest is the least expected time to the first token.
+	ReasonEarliest Reason = "earliest_first_token"
 	// ReasonNone is that no backend server is live.
 	ReasonNone Reason = "no_live_backend_server"
 	// ReasonLongShare is that long answers fill their share of every server.
@@ -66,8 +80,12 @@
 	server string
 	reason Reason
 	cost   float64
+	unread int
 }
 
+// Unread returns how many prompt tokens the server is expected to read.
+func (d Decision) Unread() int { return d.unread }
+
 // Server returns the chosen server's name, empty when there is none.
 func (d Decision) Server() string { return d.server }
 
--- a/spokeroute/policy.go
+++ b/spokeroute/policy.go
@@ -43,6 +43,8 @@
 		return p.byTurn(usable)
 	case spokeconfig.RoutingLeastReported:
 		return p.byReport(usable)
+	case spokeconfig.RoutingForecast:
+		return p.byForecast(usable, request)
 	case spokeconfig.RoutingTwoChoices:
 		return p.byTwoChoices(usable)
 	default:
