core: serve requests without knowing their protocol

Cause: serving, limits and retries stood beside goa types and chat tokens, so that another front would have needed a second copy.

--- /dev/null
+++ b/spokecore/answer.go
@@ -0,0 +1,145 @@
+package spokecore
+
+import (
+	"bytes"
+	"errors"
+	"io"
+
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+)
+
+// wholeLimit is the size up to which an answer is held back until it is whole,
+// so that a broken one can still be replaced.
+const wholeLimit = 256 << 10
+
+// handWhole hands on an answer that is no series of events.
+func (r *run) handWhole(reply *Reply, work *spokebackend.Work) error {
+	r.running()
+	held, err := io.ReadAll(io.LimitReader(reply.Body, wholeLimit+1))
+	if err != nil {
+		return spokeerror.New("read answer", KindNoAnswer, err)
+	}
+	work.Token(true)
+	if reply.Failed && r.request.repeatable() && !r.handed {
+		if r.ran < r.request.maxAttempts() && r.service.budget.Allow() {
+			r.core.Counters.replaced.Inc()
+			return spokeerror.Newf("read answer", KindReplaced, "the backend server reports a failure")
+		}
+	}
+	if r.handed {
+		return spokeerror.Newf("read answer", KindSpoiled, "no events behind the last one")
+	}
+	length := int64(len(held))
+	if length > wholeLimit {
+		length = -1
+	}
+	r.handed = true
+	r.exchange.BeginFunc(reply, length)
+	if err := r.exchange.WriteFunc(held); err != nil {
+		return spokeerror.New("hand answer on", KindGone, err)
+	}
+	if length >= 0 {
+		return nil
+	}
+	return r.handRest(reply)
+}
+
+func (r *run) handRest(reply *Reply) error {
+	part := make([]byte, wholeLimit)
+	for {
+		n, err := reply.Body.Read(part)
+		if n > 0 {
+			if err := r.exchange.WriteFunc(part[:n]); err != nil {
+				return spokeerror.New("hand answer on", KindGone, err)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return spokeerror.New("read answer", KindNoAnswer, err)
+		}
+	}
+}
+
+// handEvents hands on each event as it comes. An event that is cut short is
+// never handed on.
+func (r *run) handEvents(reply *Reply, work *spokebackend.Work, w *watch) error {
+	events := eventReader{source: reply.Body}
+	for first := true; ; first = false {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) && r.handed {
+			return nil
+		}
+		if err != nil {
+			return spokeerror.New("read events", KindNoAnswer, err)
+		}
+		r.running()
+		r.events++
+		work.Token(first)
+		w.fed()
+		if !r.handed {
+			r.handed = true
+			r.exchange.BeginFunc(reply, -1)
+		}
+		w.pause()
+		if err := r.exchange.WriteFunc(event); err != nil {
+			return spokeerror.New("hand event on", KindGone, err)
+		}
+		w.fed()
+		if id, ok := eventID(event); ok {
+			r.lastEvent = id
+		}
+	}
+}
+
+const eventBuffer = 4 << 10
+
+// eventReader cuts a body into events, each with the blank line that ends it.
+type eventReader struct {
+	source io.Reader
+	held   []byte
+	part   []byte
+	failed error
+}
+
+var eventEnd = []byte("\n\n")
+
+// next returns the next event. It returns io.EOF at the end of a body that ends
+// with a whole event.
+func (e *eventReader) next() ([]byte, error) {
+	if e.part == nil {
+		e.part = make([]byte, eventBuffer)
+	}
+	for {
+		if end := bytes.Index(e.held, eventEnd); end >= 0 {
+			event := e.held[:end+len(eventEnd)]
+			e.held = e.held[end+len(eventEnd):]
+			return event, nil
+		}
+		if e.failed != nil {
+			return nil, e.end()
+		}
+		n, err := e.source.Read(e.part)
+		e.held = append(e.held[:len(e.held):len(e.held)], e.part[:n]...)
+		e.failed = err
+	}
+}
+
+func (e *eventReader) end() error {
+	if errors.Is(e.failed, io.EOF) && len(e.held) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return e.failed
+}
+
+// eventID returns the identity that an event carries.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/spokefleet/orders.go
@@ -0,0 +1,221 @@
+package spokefleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/rs/zerolog"
+
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokelease"
+)
+
+// Kind is the kind of an error of this package.
+type Kind string
+
+// KindNoneToBeHad says that the platform has no instance of that kind there.
+const KindNoneToBeHad Kind = "none_to_be_had"
+
+const (
+	// assumedBusy is how busy the instances are taken to be that run before any
+	// work has been measured.
+	assumedBusy = 0.5
+	// repeatAfter is the time from which an order is given again that has
+	// brought nothing; it begins once the instances should have booted.
+	repeatAfter = 2 * spokeclock.Second
+	// dryFor is the time after which something is asked for again that was not
+	// to be had.
+	dryFor = 1500 * spokeclock.Millis(1)
+	// keepFor is how long what was needed is kept, so that a wave of demand does
+	// not order and give back.
+	keepFor = 10 * spokeclock.Second
+	// measureFor is the time from the first work until its rate is believed.
+	measureFor = 8 * spokeclock.Second
+)
+
+// Order asks for a number of instances of one kind in one data centre.
+type Order struct {
+	// Service is what they serve.
+	Service string
+	// DataCentre is where.
+	DataCentre string
+	// Reclaimable asks for the cheaper kind.
+	Reclaimable bool
+}
+
+// Orders keeps the instances of services whose numbers the platform takes by
+// order, while it holds the lease. Set its fields before Run.
+type Orders struct {
+	// Lease is the right to order.
+	Lease *spokelease.Lease
+	// Registry knows the instances.
+	Registry *spokebackend.Registry
+	// Store holds the configuration.
+	Store *spokeconfig.Store
+	// Demand knows the work.
+	Demand *Demand
+	// OrderFunc gives an order under a fencing number. Its error is of kind
+	// KindNoneToBeHad when there are none.
+	OrderFunc func(ctx context.Context, fence spokelease.Fence, order Order, count int) error
+	// Clock tells the time. Nil means the real one.
+	Clock *spokeclock.Clock
+	// Log takes the log lines.
+	Log zerolog.Logger
+
+	fence    spokelease.Fence
+	given    map[Order]given
+	initial  map[string]int
+	firstAt  map[string]spokeclock.Millis
+	highest  map[string]float64
+	lowersAt map[string]spokeclock.Millis
+}
+
+// given is the last order of its kind.
+type given struct {
+	count int
+	at    spokeclock.Millis
+	dry   bool
+}
+
+// Run orders at an interval until ctx ends.
+func (o *Orders) Run(ctx context.Context) {
+	spokeclock.Every(ctx, defaultInterval, func() { o.tick(ctx) })
+}
+
+func (o *Orders) tick(ctx context.Context) {
+	snapshot := o.Store.Current()
+	if snapshot == nil {
+		return
+	}
+	o.fill()
+	declaration := snapshot.Declaration()
+	for i := range declaration.Services {
+		service := &declaration.Services[i]
+		if service.Scaling == nil {
+			continue
+		}
+		places, censuses := o.census(service)
+		work := o.work(service.Name, censuses)
+		fence, held := o.Lease.Held()
+		if !held || len(places) == 0 {
+			continue
+		}
+		if fence != o.fence {
+			o.fence = fence
+			o.given = make(map[Order]given)
+		}
+		bounds := Bounds{Least: service.Scaling.Least, Most: service.Scaling.Most}
+		targets := Size(work, censuses, bounds, service.Scaling.ReclaimablePrice > 0)
+		o.keepInitial(service.Name, censuses, targets)
+		for j, place := range places {
+			o.order(ctx, service, place, true, targets[j].Reclaimable, censuses[j].Reclaimable)
+			o.order(ctx, service, place, false, targets[j].OnDemand, censuses[j].OnDemand)
+		}
+	}
+}
+
+func (o *Orders) fill() {
+	if o.given == nil {
+		o.given = make(map[Order]given)
+		o.initial = make(map[string]int)
+		o.firstAt = make(map[string]spokeclock.Millis)
+		o.highest = make(map[string]float64)
+		o.lowersAt = make(map[string]spokeclock.Millis)
+	}
+}
+
+// census counts the instances that take work, by data centre. Only data centres
+// with a price can be ordered in.
+func (o *Orders) census(service *spokeconfig.Service) ([]string, []Census) {
+	places := slices.Sorted(maps.Keys(service.Scaling.Prices))
+	censuses := make([]Census, len(places))
+	for _, line := range o.Registry.Lines() {
+		instance := line.Instance()
+		at, found := slices.BinarySearch(places, instance.DataCentre)
+		if instance.Service != service.Name || !found || line.Candidate().Leaving {
+			continue
+		}
+		if instance.Reclaimable {
+			censuses[at].Reclaimable++
+		} else {
+			censuses[at].OnDemand++
+		}
+	}
+	return places, censuses
+}
+
+// work returns the busy servers to plan for. Until enough has been measured
+// that is what the operators began with; then the most of the last seconds.
+func (o *Orders) work(service string, censuses []Census) float64 {
+	now := o.Clock.Now()
+	total := 0
+	for _, census := range censuses {
+		total += census.Reclaimable + census.OnDemand
+	}
+	if o.initial[service] == 0 {
+		o.initial[service] = total
+	}
+	measured := o.Demand.Servers(service)
+	if measured > 0 && o.firstAt[service] == 0 {
+		o.firstAt[service] = now
+	}
+	if o.firstAt[service] == 0 || now-o.firstAt[service] < measureFor {
+		return max(measured, assumedBusy*float64(o.initial[service]))
+	}
+	if measured >= o.highest[service] || now >= o.lowersAt[service] {
+		o.highest[service] = measured
+		o.lowersAt[service] = now + keepFor
+	}
+	return o.highest[service]
+}
+
+// keepInitial keeps the instances on demand that the operators began with until
+// as many reclaimable ones serve in their place.
+func (o *Orders) keepInitial(service string, censuses []Census, targets []Target) {
+	serving := 0
+	for _, census := range censuses {
+		serving += census.Reclaimable
+	}
+	if o.firstAt[service] != 0 || serving >= o.initial[service] {
+		return
+	}
+	for i := range targets {
+		targets[i].OnDemand = max(targets[i].OnDemand, censuses[i].OnDemand)
+	}
+}
+
+// order asks for a number of instances, unless that has been asked for and may
+// still come.
+func (o *Orders) order(ctx context.Context, service *spokeconfig.Service, place string, reclaimable bool, count, have int) {
+	key := Order{Service: service.Name, DataCentre: place, Reclaimable: reclaimable}
+	last, asked := o.given[key]
+	now := o.Clock.Now()
+	if o.mayStillCome(service, last, asked, count, have, now) {
+		return
+	}
+	fence, held := o.Lease.Held()
+	if !held || fence != o.fence {
+		return
+	}
+	err := o.OrderFunc(ctx, fence, key, count)
+	o.given[key] = given{count: count, at: now, dry: spokeerror.KindOf[Kind](err) == KindNoneToBeHad || (err != nil)}
+	o.Log.Info().Str("service", service.Name).Str("data_centre", place).Bool("reclaimable", reclaimable).Int("count", count).
+		Int("have", have).Float64("work", o.highest[service.Name]).Int64("fence", int64(fence)).Err(err).Msg("Instances ordered.")
+}
+
+func (o *Orders) mayStillCome(service *spokeconfig.Service, last given, asked bool, count, have int, now spokeclock.Millis) bool {
+	switch {
+	case !asked:
+		return count == have
+	case last.dry:
+		return now-last.at < dryFor
+	case last.count != count:
+		return false
+	default:
+		return have >= count || now-last.at < service.Scaling.Boot+repeatAfter
+	}
+}
--- /dev/null
+++ b/spokefleet/size.go
@@ -0,0 +1,84 @@
+package spokefleet
+
+import "math"
+
+const (
+	// busyTarget is the part of their time that servers are busy when first
+	// tokens and the pauses between tokens still hold their targets.
+	busyTarget = 0.55
+	// busyLimit is the same for the time until replacements have booted.
+	busyLimit = 0.85
+	// lossesSurvived is how many data centres may lose their reclaimable
+	// instances at once: a second wave can come before the first is replaced.
+	lossesSurvived = 2
+)
+
+// Census is what a service has in one data centre.
+type Census struct {
+	// Reclaimable and OnDemand are the instances that take work.
+	Reclaimable int
+	OnDemand    int
+}
+
+// Target is what a service shall have in one data centre.
+type Target struct {
+	// Reclaimable and OnDemand are the instances wanted.
+	Reclaimable int
+	OnDemand    int
+}
+
+// Bounds are the least and the most instances of each data centre.
+type Bounds struct {
+	Least int
+	Most  int
+}
+
+// Size returns what each of some data centres shall have so that the work, in
+// busy servers, is done at the lowest cost: reclaimable instances alone, as
+// many as are enough when the data centres that survive must do. What is
+// missing at this moment is made up for by instances on demand.
+func Size(work float64, places []Census, bounds Bounds, reclaimable bool) []Target {
+	count := len(places)
+	targets := make([]Target, count)
+	each := eachReclaimable(work, count, bounds)
+	if !reclaimable {
+		each = 0
+	}
+	for i := range targets {
+		targets[i].Reclaimable = each
+	}
+	fillOnDemand(work, places, targets, bounds)
+	return targets
+}
+
+// eachReclaimable is the number of reclaimable instances in each data centre.
+func eachReclaimable(work float64, places int, bounds Bounds) int {
+	left := max(1, places-lossesSurvived)
+	steady := work / busyTarget / float64(places)
+	survivors := work / busyLimit / float64(left)
+	return min(bounds.Most, max(bounds.Least, int(math.Ceil(max(steady, survivors)))))
+}
+
+// fillOnDemand adds instances on demand while what runs could not do the work.
+func fillOnDemand(work float64, places []Census, targets []Target, bounds Bounds) {
+	have := 0
+	for i, place := range places {
+		have += min(place.Reclaimable, targets[i].Reclaimable)
+	}
+	lacking := int(math.Ceil(work/busyLimit)) - have
+	for placed := true; lacking > 0 && placed; {
+		placed = false
+		for i, place := range places {
+			if lacking > 0 && targets[i].OnDemand+max(place.Reclaimable, targets[i].Reclaimable) < bounds.Most {
+				targets[i].OnDemand++
+				lacking--
+				placed = true
+			}
+		}
+	}
+	for i, place := range places {
+		if targets[i].OnDemand == 0 && place.Reclaimable == 0 && targets[i].Reclaimable < bounds.Least {
+			targets[i].OnDemand = bounds.Least - targets[i].Reclaimable
+		}
+	}
+}
--- /dev/null
+++ b/spokelimit/pool.go
@@ -0,0 +1,242 @@
+package spokelimit
+
+import (
+	"strings"
+	"sync"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokerate"
+)
+
+const (
+	// equalPart is the part of an allotment that is divided equally, so that an
+	// instance without demand so far can serve its first requests.
+	equalPart = 0.25
+	// demandMemory is the time constant with which old demand fades.
+	demandMemory = 2 * spokeclock.Second
+	// countLag is how old a peer's counts may be: two heartbeats of a small
+	// deployment and the network.
+	countLag = 350 * spokeclock.Millis(1)
+	// forgetSilence is how long a silent peer is assumed to go on spending its
+	// part. It is longer than the partitions that callers outlast.
+	forgetSilence = 15 * spokeclock.Second
+	// longestWait bounds the time after which a refused caller is asked back.
+	longestWait = 5 * spokeclock.Second
+
+	spentPrefix = "spent/"
+	askedPrefix = "asked/"
+)
+
+// Pool enforces the allotments that all entry instances share. Each instance
+// counts what it spends and hears the counts of its peers. While the allotment
+// as a whole is plentiful, any instance may spend from it. When it runs short,
+// or peers fall silent, an instance spends only its own part, which follows the
+// demand it has seen; the parts add up to the whole. Set its fields before the
+// first call. It is safe for concurrent use.
+type Pool struct {
+	// Clock tells the time. Nil means the real one.
+	Clock *spokeclock.Clock
+	// MembersFunc returns the number of instances that share the allotments,
+	// this one included.
+	MembersFunc func() int
+
+	mutex      sync.Mutex
+	allotments map[string]*allotment
+	peers      map[string]*spender
+	own        map[string]int64
+}
+
+// allotment is the state of one workspace's allotment.
+type allotment struct {
+	at     spokeclock.Millis
+	level  float64
+	credit float64
+	demand spokerate.Rate
+}
+
+// spender is what is known of a peer.
+type spender struct {
+	generation int64
+	heardAt    spokeclock.Millis
+	counts     map[string]int64
+	demands    map[string]*spokerate.Rate
+	assumed    map[string]float64
+}
+
+// Take spends a request's cost from a workspace's allotment.
+func (p *Pool) Take(w *spokeconfig.Workspace, cost float64) Verdict {
+	if w.Allotment == nil || w.Allotment.PerSecond == 0 {
+		return Verdict{allowed: true}
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.Clock.Now()
+	p.fill()
+	a := p.refresh(w, now)
+	a.demand.Add(cost, now)
+	p.own[askedPrefix+w.Name] += int64(cost)
+	if a.credit <= 0 && a.level < cost+p.lagging(w, a, now) {
+		return Verdict{limit: "allotment", after: p.waitFor(w, a, now)}
+	}
+	p.spend(w.Name, a, cost)
+	return Verdict{allowed: true}
+}
+
+// Give returns the cost of a request that was allowed and did not run.
+func (p *Pool) Give(w *spokeconfig.Workspace, cost float64) {
+	if w.Allotment == nil || w.Allotment.PerSecond == 0 {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fill()
+	p.spend(w.Name, p.refresh(w, p.Clock.Now()), -cost)
+}
+
+func (p *Pool) spend(workspace string, a *allotment, cost float64) {
+	a.level -= cost
+	a.credit -= cost
+	p.own[spentPrefix+workspace] += int64(cost)
+}
+
+func (p *Pool) fill() {
+	if p.own == nil {
+		p.allotments = make(map[string]*allotment)
+		p.peers = make(map[string]*spender)
+		p.own = make(map[string]int64)
+	}
+}
+
+// refresh brings a workspace's allotment up to now. A new one begins empty, as
+// what was spent before this process started is not known.
+func (p *Pool) refresh(w *spokeconfig.Workspace, now spokeclock.Millis) *allotment {
+	a, known := p.allotments[w.Name]
+	if !known {
+		a = &allotment{at: now, demand: spokerate.Rate{Memory: demandMemory}}
+		p.allotments[w.Name] = a
+	}
+	span := float64(now-a.at) / float64(spokeclock.Second)
+	a.at = now
+	part := p.part(w.Name, a, now)
+	a.level = min(w.Allotment.Burst, a.level+w.Allotment.PerSecond*span)
+	a.credit = min(w.Allotment.Burst*part, a.credit+w.Allotment.PerSecond*part*span)
+	p.assumeSilent(w, a, span, now)
+	return a
+}
+
+// part is this instance's part of an allotment.
+func (p *Pool) part(workspace string, a *allotment, now spokeclock.Millis) float64 {
+	members := float64(max(1, p.MembersFunc(), len(p.peers)+1))
+	own := a.demand.PerSecond(now)
+	all := own
+	for _, peer := range p.peers {
+		all += peer.demand(workspace, now)
+	}
+	if all <= 0 {
+		return 1 / members
+	}
+	return equalPart/members + (1-equalPart)*own/all
+}
+
+// demand is a peer's demand. That of a silent peer stays as it was last heard.
+func (s *spender) demand(workspace string, now spokeclock.Millis) float64 {
+	demand, known := s.demands[workspace]
+	if !known {
+		return 0
+	}
+	if s.silent(now) {
+		return demand.PerSecond(s.heardAt)
+	}
+	return demand.PerSecond(now)
+}
+
+func (s *spender) silent(now spokeclock.Millis) bool {
+	return now-s.heardAt > spokeclock.Second
+}
+
+// assumeSilent lets silent peers spend their parts, until they are heard again
+// or forgotten.
+func (p *Pool) assumeSilent(w *spokeconfig.Workspace, a *allotment, span float64, now spokeclock.Millis) {
+	for name, peer := range p.peers {
+		if !peer.silent(now) {
+			continue
+		}
+		if now-peer.heardAt > forgetSilence {
+			delete(p.peers, name)
+			continue
+		}
+		spent := min(peer.demand(w.Name, now), w.Allotment.PerSecond) * span
+		peer.assumed[w.Name] += spent
+		a.level -= spent
+	}
+}
+
+// lagging is what peers may have spent that has not been heard yet.
+func (p *Pool) lagging(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) float64 {
+	all := a.demand.PerSecond(now)
+	for _, peer := range p.peers {
+		all += peer.demand(w.Name, now)
+	}
+	return all * float64(countLag) / float64(spokeclock.Second)
+}
+
+// waitFor returns the time until this instance's part would allow a request.
+func (p *Pool) waitFor(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) spokeclock.Millis {
+	perSecond := w.Allotment.PerSecond * p.part(w.Name, a, now)
+	wait := spokeclock.Millis((1 - a.credit) / perSecond * float64(spokeclock.Second))
+	return min(max(1, wait), longestWait)
+}
+
+// Counts returns this instance's counters, for its peers.
+func (p *Pool) Counts() map[string]int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	counts := make(map[string]int64, len(p.own))
+	for key, count := range p.own {
+		counts[key] = count
+	}
+	return counts
+}
+
+// TakeCounts takes in the counters of one run of a peer that have changed.
+func (p *Pool) TakeCounts(peer string, generation int64, counts map[string]int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fill()
+	now := p.Clock.Now()
+	s, known := p.peers[peer]
+	if !known || s.generation != generation {
+		s = &spender{
+			generation: generation, counts: make(map[string]int64),
+			demands: make(map[string]*spokerate.Rate), assumed: make(map[string]float64),
+		}
+		p.peers[peer] = s
+	}
+	s.heardAt = now
+	for key, count := range counts {
+		before, counted := s.counts[key]
+		s.counts[key] = count
+		// What a peer spent before it was first heard is in no window that
+		// this instance knows.
+		if !counted && !known {
+			continue
+		}
+		p.take(s, key, float64(count-before), now)
+	}
+}
+
+func (p *Pool) take(s *spender, key string, amount float64, now spokeclock.Millis) {
+	if workspace, spent := strings.CutPrefix(key, spentPrefix); spent {
+		if a, known := p.allotments[workspace]; known {
+			a.level -= amount - s.assumed[workspace]
+		}
+		s.assumed[workspace] = 0
+	}
+	if workspace, asked := strings.CutPrefix(key, askedPrefix); asked {
+		if s.demands[workspace] == nil {
+			s.demands[workspace] = &spokerate.Rate{Memory: demandMemory}
+		}
+		s.demands[workspace].Add(amount, now)
+	}
+}
