--- a/cmd/mulberryspoke/main.go
+++ b/cmd/mulberryspoke/main.go
@@ -47,6 +47,7 @@
 		}
 	}
 	add("entry", "Run an entry instance", &entryCommand{})
+	add("platform", "Run an entry instance on the users' platform", &platformCommand{})
 	add("demo", "Run a deployment on embedded stand-ins", &demoCommand{})
 	add("apply", "Put a declaration in force", &applyCommand{})
 	add("diff", "Compare a declaration with what is in force", &diffCommand{})
--- /dev/null
+++ b/cmd/mulberryspoke/platform.go
@@ -0,0 +1,43 @@
+package main
+
+// #include <stdlib.h>
+import "C"
+
+import (
+	"context"
+	"os"
+
+	"mulberryspoke.example/mulberryspoke/platform"
+	"mulberryspoke.example/mulberryspoke/spokelog"
+	"mulberryspoke.example/mulberryspoke/spoketrace"
+)
+
+// platformCommand runs an entry instance on the users' platform.
+type platformCommand struct {
+	SettingsPath string `long:"settings" env:"MULBERRYSPOKE_BOOT" description:"Settings file of the platform" required:"true"`
+	LogLevel     string `long:"log-level" env:"MULBERRYSPOKE_LOG_LEVEL" description:"debug, info, warn or error" default:"info"`
+	Trace        string `long:"trace" env:"MULBERRYSPOKE_TRACE" description:"Exporter of traces: none or json (to standard error)" default:"none"`
+}
+
+// Execute serves until a first signal, then shuts down. A second signal ends
+// the process at once.
+func (c *platformCommand) Execute([]string) error {
+	settings, err := platform.ReadSettings(c.SettingsPath)
+	if err != nil {
+		return err
+	}
+	logs, err := spokelog.New(os.Stdout, c.LogLevel)
+	if err != nil {
+		return err
+	}
+	flush, err := spoketrace.Start(spoketrace.Exporter(c.Trace), os.Stderr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(context.Background()) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go onSignals(cancel, func() { os.Exit(exitFailed) })
+	process := &platform.Process{Settings: settings, Logs: logs.With("instance", settings.Node)}
+	return process.Run(ctx)
+}
