fleet: size from the operators' fleet until work is measured

Refusals as over an allotment were 1,069 because late counts were held against the callers and allotments began empty at their first use.

--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -45,6 +45,8 @@
 	if r.request.Workspace != nil {
 		verdict := r.core.Pool.Take(r.request.Workspace, r.request.cost())
 		if !verdict.Allowed() {
+			r.core.Log.Info().Str("id", r.request.ID).Str("workspace", r.request.workspaceName()).Float64("cost", r.request.cost()).
+				Float64("per_second", verdict.PerSecond()).Float64("level", verdict.Level()).Float64("credit", verdict.Credit()).Msg("Allotment spent.")
 			return &Refusal{kind: KindLimited, notRun: true, after: verdict.After()}
 		}
 	}
--- a/spokefleet/orders.go
+++ b/spokefleet/orders.go
@@ -33,8 +33,10 @@
 	// keepFor is how long what was needed is kept, so that a wave of demand does
 	// not order and give back.
 	keepFor = 10 * spokeclock.Second
+	// keepOnDemandFor is the same for instances on demand, which cost more.
+	keepOnDemandFor = 4 * spokeclock.Second
 	// measureFor is the time from the first work until its rate is believed.
-	measureFor = 8 * spokeclock.Second
+	measureFor = 6 * spokeclock.Second
 )
 
 // Order asks for a number of instances of one kind in one data centre.
@@ -68,6 +70,7 @@
 
 	fence    spokelease.Fence
 	given    map[Order]given
+	needed   map[Order]given
 	initial  map[string]int
 	firstAt  map[string]spokeclock.Millis
 	highest  map[string]float64
@@ -111,6 +114,7 @@
 		bounds := Bounds{Least: service.Scaling.Least, Most: service.Scaling.Most}
 		targets := Size(work, censuses, bounds, service.Scaling.ReclaimablePrice > 0)
 		o.keepInitial(service.Name, censuses, targets)
+		o.keepOnDemand(service.Name, places, targets)
 		for j, place := range places {
 			o.order(ctx, service, place, true, targets[j].Reclaimable, censuses[j].Reclaimable)
 			o.order(ctx, service, place, false, targets[j].OnDemand, censuses[j].OnDemand)
@@ -121,6 +125,7 @@
 func (o *Orders) fill() {
 	if o.given == nil {
 		o.given = make(map[Order]given)
+		o.needed = make(map[Order]given)
 		o.initial = make(map[string]int)
 		o.firstAt = make(map[string]spokeclock.Millis)
 		o.highest = make(map[string]float64)
@@ -152,17 +157,13 @@
 // that is what the operators began with; then the most of the last seconds.
 func (o *Orders) work(service string, censuses []Census) float64 {
 	now := o.Clock.Now()
-	total := 0
-	for _, census := range censuses {
-		total += census.Reclaimable + census.OnDemand
-	}
-	if o.initial[service] == 0 {
-		o.initial[service] = total
-	}
 	measured := o.Demand.Servers(service)
 	if measured > 0 && o.firstAt[service] == 0 {
 		o.firstAt[service] = now
 	}
+	if o.firstAt[service] == 0 {
+		o.initial[service] = max(o.initial[service], onDemand(censuses))
+	}
 	if o.firstAt[service] == 0 || now-o.firstAt[service] < measureFor {
 		return max(measured, assumedBusy*float64(o.initial[service]))
 	}
@@ -173,6 +174,14 @@
 	return o.highest[service]
 }
 
+func onDemand(censuses []Census) int {
+	count := 0
+	for _, census := range censuses {
+		count += census.OnDemand
+	}
+	return count
+}
+
 // keepInitial keeps the instances on demand that the operators began with until
 // as many reclaimable ones serve in their place.
 func (o *Orders) keepInitial(service string, censuses []Census, targets []Target) {
@@ -188,6 +197,21 @@
 	}
 }
 
+// keepOnDemand keeps instances on demand for a while after they were needed, so
+// that they are not given back and ordered again.
+func (o *Orders) keepOnDemand(service string, places []string, targets []Target) {
+	now := o.Clock.Now()
+	for i, place := range places {
+		key := Order{Service: service, DataCentre: place}
+		last := o.needed[key]
+		if targets[i].OnDemand >= last.count || now-last.at > keepOnDemandFor {
+			o.needed[key] = given{count: targets[i].OnDemand, at: now}
+			continue
+		}
+		targets[i].OnDemand = last.count
+	}
+}
+
 // order asks for a number of instances, unless that has been asked for and may
 // still come.
 func (o *Orders) order(ctx context.Context, service *spokeconfig.Service, place string, reclaimable bool, count, have int) {
--- a/spokefleet/size.go
+++ b/spokefleet/size.go
@@ -7,7 +7,7 @@
 	// tokens and the pauses between tokens still hold their targets.
 	busyTarget = 0.55
 	// busyLimit is the same for the time until replacements have booted.
-	busyLimit = 0.85
+	busyLimit = 0.75
 	// lossesSurvived is how many data centres may lose their reclaimable
 	// instances at once: a second wave can come before the first is replaced.
 	lossesSurvived = 2
--- a/spokelimit/limit.go
+++ b/spokelimit/limit.go
@@ -35,8 +35,21 @@
 	allowed bool
 	limit   string
 	after   spokeclock.Millis
+
+	perSecond float64
+	level     float64
+	credit    float64
 }
 
+// PerSecond returns the rate of the allotment that refused the request.
+func (v Verdict) PerSecond() float64 { return v.perSecond }
+
+// Level returns what was left of the whole allotment, as far as known.
+func (v Verdict) Level() float64 { return v.level }
+
+// Credit returns what was left of this instance's part.
+func (v Verdict) Credit() float64 { return v.credit }
+
 // Allowed reports whether the request may go on.
 func (v Verdict) Allowed() bool { return v.allowed }
 
--- a/spokelimit/pool.go
+++ b/spokelimit/pool.go
@@ -21,6 +21,8 @@
 	// forgetSilence is how long a silent peer is assumed to go on spending its
 	// part. It is longer than the partitions that callers outlast.
 	forgetSilence = 15 * spokeclock.Second
+	// tolerated is the part of the tolerance that late counts may use up.
+	tolerated = 0.5
 	// longestWait bounds the time after which a refused caller is asked back.
 	longestWait = 5 * spokeclock.Second
 
@@ -40,6 +42,8 @@
 	// MembersFunc returns the number of instances that share the allotments,
 	// this one included.
 	MembersFunc func() int
+	// Tolerance bounds what all instances together may spend too much.
+	Tolerance Tolerance
 
 	mutex      sync.Mutex
 	allotments map[string]*allotment
@@ -47,6 +51,23 @@
 	own        map[string]int64
 }
 
+// Tolerance is what may be spent beyond an allotment in any window, because
+// counts arrive late.
+type Tolerance struct {
+	// Window is the span that is looked at.
+	Window spokeclock.Millis
+	// Share is the part of the allotment.
+	Share float64
+	// Amount is what may be spent besides.
+	Amount float64
+}
+
+// of returns the tolerance of one allotment.
+func (t Tolerance) of(a *spokeconfig.Allotment) float64 {
+	span := float64(t.Window) / float64(spokeclock.Second)
+	return t.Share*(a.PerSecond*span+a.Burst) + t.Amount
+}
+
 // allotment is the state of one workspace's allotment.
 type allotment struct {
 	at     spokeclock.Millis
@@ -76,8 +97,8 @@
 	a := p.refresh(w, now)
 	a.demand.Add(cost, now)
 	p.own[askedPrefix+w.Name] += int64(cost)
-	if a.credit <= 0 && a.level < cost+p.lagging(w, a, now) {
-		return Verdict{limit: "allotment", after: p.waitFor(w, a, now)}
+	if a.credit <= 0 && !p.plentiful(w, a, now) {
+		return Verdict{limit: "allotment", after: p.waitFor(w, a, now), perSecond: w.Allotment.PerSecond, level: a.level, credit: a.credit}
 	}
 	p.spend(w.Name, a, cost)
 	return Verdict{allowed: true}
@@ -108,12 +129,12 @@
 	}
 }
 
-// refresh brings a workspace's allotment up to now. A new one begins empty, as
-// what was spent before this process started is not known.
+// refresh brings a workspace's allotment up to now. It begins empty when this
+// process starts, as what was spent before is not known.
 func (p *Pool) refresh(w *spokeconfig.Workspace, now spokeclock.Millis) *allotment {
 	a, known := p.allotments[w.Name]
 	if !known {
-		a = &allotment{at: now, demand: spokerate.Rate{Memory: demandMemory}}
+		a = &allotment{demand: spokerate.Rate{Memory: demandMemory}}
 		p.allotments[w.Name] = a
 	}
 	span := float64(now-a.at) / float64(spokeclock.Second)
@@ -172,6 +193,13 @@
 	}
 }
 
+// plentiful reports whether a request may be spent from the whole allotment:
+// what peers may have spent unheard is there, or tolerable. Half of the
+// tolerance is kept for the requests that several instances allow at once.
+func (p *Pool) plentiful(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) bool {
+	return a.level+p.Tolerance.of(w.Allotment)*tolerated >= p.lagging(w, a, now)
+}
+
 // lagging is what peers may have spent that has not been heard yet.
 func (p *Pool) lagging(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) float64 {
 	all := a.demand.PerSecond(now)
@@ -184,8 +212,9 @@
 // waitFor returns the time until this instance's part would allow a request.
 func (p *Pool) waitFor(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) spokeclock.Millis {
 	perSecond := w.Allotment.PerSecond * p.part(w.Name, a, now)
-	wait := spokeclock.Millis((1 - a.credit) / perSecond * float64(spokeclock.Second))
-	return min(max(1, wait), longestWait)
+	byCredit := (1 - a.credit) / perSecond
+	byLevel := max(0, p.lagging(w, a, now)-a.level-p.Tolerance.of(w.Allotment)*tolerated) / w.Allotment.PerSecond
+	return min(1+spokeclock.Millis(min(byCredit, byLevel)*float64(spokeclock.Second)), longestWait)
 }
 
 // Counts returns this instance's counters, for its peers.
