fleet: order by the work asked, and keep a reserve when places are dry

Where a data centre's bound was taken up by reclaimable instances that were not to be had, there was no room for others. Ruled out: the reserve for two losses as such; it held until the third wave. Change: work is counted when a request is sent, with the length that answers of its route have had. A dry data centre is asked for one more only, and instances on demand make up for what the next loss would leave lacking.

--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -56,6 +56,7 @@
 type service struct {
 	budget   spokeretry.Budget
 	prefixes spokeroute.Prefixes
+	answers  answerLengths
 
 	mutex  sync.Mutex
 	policy spokeroute.Policy
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -73,6 +73,7 @@
 		}
 		r.tried = append(r.tried, decision.Server())
 		r.unread = decision.Unread()
+		r.countWork()
 		err := r.attempt(deadline, decision.Server())
 		if err == nil {
 			return nil
@@ -141,7 +142,6 @@
 	defer w.stop()
 	err := r.exchangeWith(ctx, work, w)
 	r.judge(ctx, work, err)
-	r.countWork()
 	span.End(err)
 	return err
 }
@@ -177,6 +177,7 @@
 	switch {
 	case err == nil:
 		work.Succeed()
+		r.learnAnswer()
 		if _, affinity := r.request.shared(); affinity != 0 {
 			r.service.prefixes.Put(affinity, work.Instance().Name)
 		}
@@ -191,14 +192,25 @@
 	}
 }
 
-// countWork counts what an attempt has kept its engine busy with.
+// countWork counts what the request will keep an engine busy with. It is
+// counted when the request is sent, as a full service answers less than is
+// asked of it.
 func (r *run) countWork() {
 	engine := r.request.Service.Engine
-	if engine == nil || !r.begun {
+	if engine == nil || len(r.tried) > 1 {
 		return
 	}
-	r.core.WorkFunc(r.request.Service.Name, spokeroute.Work(r.unread, r.events*max(1, engine.TokensPerEvent)))
-	r.events = 0
+	expected := r.service.answers.expect(r.request.Route.Name, r.request.AnswerTokens)
+	r.core.WorkFunc(r.request.Service.Name, spokeroute.Work(r.unread, expected))
+}
+
+// learnAnswer notes how long the answer was against what was declared.
+func (r *run) learnAnswer() {
+	engine := r.request.Service.Engine
+	if engine == nil {
+		return
+	}
+	r.service.answers.learn(r.request.Route.Name, r.request.AnswerTokens, r.events*max(1, engine.TokensPerEvent))
 }
 
 // running notes that a server has begun to run the request.
@@ -217,7 +229,7 @@
 func (r *run) report(refusal *Refusal) {
 	now := r.core.Clock.Now()
 	line := r.core.Log.Info().Str("id", r.request.ID).Str("route", r.request.Route.Name).Str("workspace", r.request.workspaceName()).
-		Strs("servers", r.tried).Int("ran", r.ran).Int64("millis", int64(now-r.started))
+		Float64("cost", r.request.cost()).Strs("servers", r.tried).Int("ran", r.ran).Int64("millis", int64(now-r.started))
 	if r.begun {
 		line = line.Int64("first_millis", int64(r.firstAt-r.started))
 		r.core.Counters.first.Update((r.firstAt - r.started).Duration().Seconds())
--- a/spokefleet/orders.go
+++ b/spokefleet/orders.go
@@ -30,6 +30,8 @@
 	// dryFor is the time after which something is asked for again that was not
 	// to be had.
 	dryFor = 1500 * spokeclock.Millis(1)
+	// dryMemory is how long a data centre counts as dry after that.
+	dryMemory = 2 * dryFor
 	// keepFor is how long what was needed is kept, so that a wave of demand does
 	// not order and give back.
 	keepFor = 10 * spokeclock.Second
@@ -111,6 +113,7 @@
 			o.fence = fence
 			o.given = make(map[Order]given)
 		}
+		o.markDry(service.Name, places, censuses)
 		bounds := Bounds{Least: service.Scaling.Least, Most: service.Scaling.Most}
 		targets := Size(work, censuses, bounds, service.Scaling.ReclaimablePrice > 0)
 		o.keepInitial(service.Name, censuses, targets)
@@ -122,6 +125,14 @@
 	}
 }
 
+// markDry notes where no reclaimable instances were to be had lately.
+func (o *Orders) markDry(service string, places []string, censuses []Census) {
+	for i, place := range places {
+		last, asked := o.given[Order{Service: service, DataCentre: place, Reclaimable: true}]
+		censuses[i].Dry = asked && last.dry && o.Clock.Now()-last.at < dryMemory
+	}
+}
+
 func (o *Orders) fill() {
 	if o.given == nil {
 		o.given = make(map[Order]given)
--- a/spokefleet/size.go
+++ b/spokefleet/size.go
@@ -18,6 +18,8 @@
 	// Reclaimable and OnDemand are the instances that take work.
 	Reclaimable int
 	OnDemand    int
+	// Dry says that no reclaimable ones were to be had lately.
+	Dry bool
 }
 
 // Target is what a service shall have in one data centre.
@@ -44,8 +46,8 @@
 	if !reclaimable {
 		each = 0
 	}
-	for i := range targets {
-		targets[i].Reclaimable = each
+	for i, place := range places {
+		targets[i].Reclaimable = eachIn(place, each, bounds)
 	}
 	fillOnDemand(work, places, targets, bounds)
 	return targets
@@ -59,17 +61,33 @@
 	return min(bounds.Most, max(bounds.Least, int(math.Ceil(max(steady, survivors)))))
 }
 
-// fillOnDemand adds instances on demand while what runs could not do the work.
+// eachIn is the number of reclaimable instances in one data centre. A dry one is
+// asked for one more, to learn when there are some again; instances on demand
+// keep their room until reclaimable ones serve.
+func eachIn(place Census, each int, bounds Bounds) int {
+	if place.Dry {
+		each = min(each, place.Reclaimable+1)
+	}
+	return max(min(each, place.Reclaimable), min(each, bounds.Most-place.OnDemand))
+}
+
+// fillOnDemand adds instances on demand while what would be left after the next
+// loss of a data centre's reclaimable instances could not do the work.
 func fillOnDemand(work float64, places []Census, targets []Target, bounds Bounds) {
-	have := 0
+	have, largest := 0, 0
 	for i, place := range places {
-		have += min(place.Reclaimable, targets[i].Reclaimable)
+		serving := min(place.Reclaimable, targets[i].Reclaimable)
+		have += serving
+		largest = max(largest, serving)
+	}
+	if len(places) > 1 {
+		have -= largest
 	}
 	lacking := int(math.Ceil(work/busyLimit)) - have
 	for placed := true; lacking > 0 && placed; {
 		placed = false
-		for i, place := range places {
-			if lacking > 0 && targets[i].OnDemand+max(place.Reclaimable, targets[i].Reclaimable) < bounds.Most {
+		for i := range places {
+			if lacking > 0 && targets[i].OnDemand+targets[i].Reclaimable < bounds.Most {
 				targets[i].OnDemand++
 				lacking--
 				placed = true
