limit: agree on parts at heartbeats, and leave small ones to chance

Change: parts are worked out when peers are heard and stay while one is silent; what is there belongs to silent peers too; the age of counts is that of each peer's heartbeats; a part below a request is spent by chance, drawn once for each time in which the others hear of it.

--- a/spokelimit/pool.go
+++ b/spokelimit/pool.go
@@ -1,6 +1,7 @@
 package spokelimit
 
 import (
+	"math/rand/v2"
 	"strings"
 	"sync"
 
@@ -15,9 +16,15 @@
 	equalPart = 0.25
 	// demandMemory is the time constant with which old demand fades.
 	demandMemory = 2 * spokeclock.Second
-	// countLag is how old a peer's counts may be: two heartbeats of a small
-	// deployment and the network.
-	countLag = 350 * spokeclock.Millis(1)
+	// countLag is how much older than its last heartbeat what is known of a peer
+	// may be: its way, and the wait for the processor.
+	countLag = 200 * spokeclock.Millis(1)
+	// silentBeats is how many heartbeats a peer may miss.
+	silentBeats = 2
+	// intervalMemory is the weight of a peer's known interval against one more.
+	intervalMemory = 3
+	// agreeInterval bounds the work of parts that follow demand.
+	agreeInterval = 100 * spokeclock.Millis(1)
 	// forgetSilence is how long a silent peer is assumed to go on spending its
 	// part. It is longer than the partitions that callers outlast.
 	forgetSilence = 15 * spokeclock.Second
@@ -42,6 +49,8 @@
 	// MembersFunc returns the number of instances that share the allotments,
 	// this one included.
 	MembersFunc func() int
+	// RandomFunc draws from 0 up to 1. Nil means the real one.
+	RandomFunc func() float64
 	// Tolerance bounds what all instances together may spend too much.
 	Tolerance Tolerance
 
@@ -49,6 +58,7 @@
 	allotments map[string]*allotment
 	peers      map[string]*spender
 	own        map[string]int64
+	agreedAt   spokeclock.Millis
 }
 
 // Tolerance is what may be spent beyond an allotment in any window, because
@@ -74,12 +84,18 @@
 	level  float64
 	credit float64
 	demand spokerate.Rate
+	// agreed is this instance's part as it was when all peers were last heard.
+	agreed float64
+	// draw is the chance drawn last.
+	draw    float64
+	drawnAt spokeclock.Millis
 }
 
 // spender is what is known of a peer.
 type spender struct {
 	generation int64
 	heardAt    spokeclock.Millis
+	interval   spokeclock.Millis
 	counts     map[string]int64
 	demands    map[string]*spokerate.Rate
 	assumed    map[string]float64
@@ -97,7 +113,7 @@
 	a := p.refresh(w, now)
 	a.demand.Add(cost, now)
 	p.own[askedPrefix+w.Name] += int64(cost)
-	if a.credit <= 0 && !p.plentiful(w, a, now) {
+	if !p.plentiful(w, a, now) && !p.credited(w, a, cost, now) {
 		return Verdict{limit: "allotment", after: p.waitFor(w, a, now), perSecond: w.Allotment.PerSecond, level: a.level, credit: a.credit}
 	}
 	p.spend(w.Name, a, cost)
@@ -146,18 +162,47 @@
 	return a
 }
 
-// part is this instance's part of an allotment.
+// part is this instance's part of an allotment, as it was when peers were last
+// heard: until then they have not heard of new demand here either.
 func (p *Pool) part(workspace string, a *allotment, now spokeclock.Millis) float64 {
+	if a.agreed == 0 || len(p.peers) == 0 {
+		a.agreed = p.partOf(workspace, a, a.demand.PerSecond(now), now)
+	}
+	return a.agreed
+}
+
+// partOf is the part that falls to a demand: some of it equal, the rest in
+// proportion.
+func (p *Pool) partOf(workspace string, a *allotment, demand float64, now spokeclock.Millis) float64 {
 	members := float64(max(1, p.MembersFunc(), len(p.peers)+1))
-	own := a.demand.PerSecond(now)
-	all := own
+	all := a.demand.PerSecond(now)
 	for _, peer := range p.peers {
 		all += peer.demand(workspace, now)
 	}
 	if all <= 0 {
 		return 1 / members
 	}
-	return equalPart/members + (1-equalPart)*own/all
+	return equalPart/members + (1-equalPart)*demand/all
+}
+
+// agree works this instance's parts out anew, unless a peer is silent.
+func (p *Pool) agree(now spokeclock.Millis) {
+	if now-p.agreedAt < agreeInterval || p.anySilent(now) {
+		return
+	}
+	p.agreedAt = now
+	for workspace, a := range p.allotments {
+		a.agreed = p.partOf(workspace, a, a.demand.PerSecond(now), now)
+	}
+}
+
+func (p *Pool) anySilent(now spokeclock.Millis) bool {
+	for _, peer := range p.peers {
+		if peer.silent(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // demand is a peer's demand. That of a silent peer stays as it was last heard.
@@ -172,8 +217,9 @@
 	return demand.PerSecond(now)
 }
 
+// silent reports whether a peer has missed its last heartbeats.
 func (s *spender) silent(now spokeclock.Millis) bool {
-	return now-s.heardAt > spokeclock.Second
+	return now-s.heardAt > countLag+silentBeats*s.interval
 }
 
 // assumeSilent lets silent peers spend their parts, until they are heard again
@@ -187,7 +233,7 @@
 			delete(p.peers, name)
 			continue
 		}
-		spent := min(peer.demand(w.Name, now), w.Allotment.PerSecond) * span
+		spent := p.partOf(w.Name, a, peer.demand(w.Name, now), now) * w.Allotment.PerSecond * span
 		peer.assumed[w.Name] += spent
 		a.level -= spent
 	}
@@ -195,18 +241,64 @@
 
 // plentiful reports whether a request may be spent from the whole allotment:
 // what peers may have spent unheard is there, or tolerable. Half of the
-// tolerance is kept for the requests that several instances allow at once.
+// tolerance is kept for the requests that several instances allow at once. What
+// is there belongs to silent peers as well, and all of it may be gone when no
+// peer is heard.
 func (p *Pool) plentiful(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) bool {
-	return a.level+p.Tolerance.of(w.Allotment)*tolerated >= p.lagging(w, a, now)
+	shared, heard := 1.0, len(p.peers) == 0
+	for _, peer := range p.peers {
+		if peer.silent(now) {
+			shared -= p.partOf(w.Name, a, peer.demand(w.Name, now), now)
+		} else {
+			heard = true
+		}
+	}
+	stock := a.level
+	if stock > 0 {
+		stock *= max(0, shared)
+	}
+	return heard && stock+p.Tolerance.of(w.Allotment)*tolerated >= p.lagging(w, a, now)
+}
+
+// credited reports whether a request may be spent from this instance's own part.
+// Parts of many instances are smaller than a request; then chance decides, once
+// for each time in which the others hear of it, so that they do not all spend a
+// whole request at once.
+func (p *Pool) credited(w *spokeconfig.Workspace, a *allotment, cost float64, now spokeclock.Millis) bool {
+	if a.credit <= 0 || a.level < -p.Tolerance.of(w.Allotment)*tolerated {
+		return false
+	}
+	if now-a.drawnAt > p.lag() {
+		a.drawnAt = now
+		a.draw = p.random()
+	}
+	return a.credit >= cost*a.draw
 }
 
-// lagging is what peers may have spent that has not been heard yet.
+func (p *Pool) random() float64 {
+	if p.RandomFunc != nil {
+		return p.RandomFunc()
+	}
+	return rand.Float64() //nolint:gosec // Chance needs no secrecy here.
+}
+
+// lag is how old the counts of the slowest peer may be.
+func (p *Pool) lag() spokeclock.Millis {
+	lag := countLag
+	for _, peer := range p.peers {
+		lag = max(lag, peer.interval+countLag)
+	}
+	return lag
+}
+
+// lagging is what peers may have spent that has not been heard yet, and what
+// they have not heard of this instance.
 func (p *Pool) lagging(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) float64 {
-	all := a.demand.PerSecond(now)
+	unheard := a.demand.PerSecond(now) * float64(p.lag())
 	for _, peer := range p.peers {
-		all += peer.demand(w.Name, now)
+		unheard += peer.demand(w.Name, now) * float64(peer.interval+countLag)
 	}
-	return all * float64(countLag) / float64(spokeclock.Second)
+	return unheard / float64(spokeclock.Second)
 }
 
 // waitFor returns the time until this instance's part would allow a request.
@@ -242,6 +334,9 @@
 		}
 		p.peers[peer] = s
 	}
+	if s.heardAt > 0 {
+		s.interval = (intervalMemory*s.interval + now - s.heardAt) / (intervalMemory + 1)
+	}
 	s.heardAt = now
 	for key, count := range counts {
 		before, counted := s.counts[key]
@@ -253,6 +348,7 @@
 		}
 		p.take(s, key, float64(count-before), now)
 	}
+	p.agree(now)
 }
 
 func (p *Pool) take(s *spender, key string, amount float64, now spokeclock.Millis) {
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -60,7 +60,7 @@
 	// that it shares none.
 	CountsFunc func() map[string]int64
 	// TakeCountsFunc takes in the counters of one run of a peer that have
-	// changed.
+	// changed, at each heartbeat.
 	TakeCountsFunc func(peer string, generation int64, counts map[string]int64)
 	// Base is the time between heartbeats on each of a few links. Zero means
 	// 500 ms.
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -69,7 +69,7 @@
 	n.View.Heartbeat(s.peer, h.Revision, h.Draining, h.Interval)
 	n.View.TakePlaces(h.Places)
 	n.Registry.TakePeerUse(s.peer, h.Uses)
-	if n.TakeCountsFunc != nil && len(h.Counts) > 0 {
+	if n.TakeCountsFunc != nil {
 		n.TakeCountsFunc(s.peer, s.generation, h.Counts)
 	}
 	for id, slots := range h.Slots {
