--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -79,8 +79,7 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.rows = make(map[string]spoketable.Row)
-	f.doubted = make(map[string]spokeclock.Millis)
+	f.fill()
 	retry := retryStart
 	for ctx.Err() == nil {
 		var pause spokeclock.Millis
@@ -97,6 +96,13 @@
 	}
 }
 
+func (f *Follower) fill() {
+	if f.rows == nil {
+		f.rows = make(map[string]spoketable.Row)
+		f.doubted = make(map[string]spokeclock.Millis)
+	}
+}
+
 func (f *Follower) pause() spokeclock.Millis {
 	if f.PauseFunc == nil {
 		return 0
