--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -104,7 +104,21 @@
 	failed error
 }
 
-var eventEnd = []byte("\n\n")
+// eventEnd returns the length of the first event in the text, up to and with
+// the blank line behind it, or -1.
+func eventEnd(text []byte) int {
+	for at := 0; ; {
+		line := bytes.IndexByte(text[at:], '\n')
+		if line < 0 {
+			return -1
+		}
+		end := at + line + 1
+		if at > 0 && len(bytes.TrimRight(text[at:end], "\r\n")) == 0 {
+			return end
+		}
+		at = end
+	}
+}
 
 // next returns the next event. It returns io.EOF at the end of a body that ends
 // with a whole event.
@@ -113,9 +127,9 @@
 		e.part = make([]byte, eventBuffer)
 	}
 	for {
-		if end := bytes.Index(e.held, eventEnd); end >= 0 {
-			event := e.held[:end+len(eventEnd)]
-			e.held = e.held[end+len(eventEnd):]
+		if end := eventEnd(e.held); end >= 0 {
+			event := e.held[:end]
+			e.held = e.held[end:]
 			return event, nil
 		}
 		if e.failed != nil {
