lease: take lapsed duties over sooner; fleet: keep what was needed for 25 s

The fleet had been cut from 24 to 16 at 7 s, in the trough of a wave of traffic. Ruled out: uneven choices; the two busiest servers there are of the booking service. The fleet that the operators began with, and the most work of 25 s, count before less is ordered.

--- a/spokefleet/orders.go
+++ b/spokefleet/orders.go
@@ -34,7 +34,7 @@
 	dryMemory = 2 * dryFor
 	// keepFor is how long what was needed is kept, so that a wave of demand does
 	// not order and give back.
-	keepFor = 10 * spokeclock.Second
+	keepFor = 25 * spokeclock.Second
 	// keepOnDemandFor is the same for instances on demand, which cost more.
 	keepOnDemandFor = 4 * spokeclock.Second
 	// measureFor is the time from the first work until its rate is believed.
@@ -176,7 +176,8 @@
 		o.initial[service] = max(o.initial[service], onDemand(censuses))
 	}
 	if o.firstAt[service] == 0 || now-o.firstAt[service] < measureFor {
-		return max(measured, assumedBusy*float64(o.initial[service]))
+		o.lowersAt[service] = now + keepFor
+		o.highest[service] = max(o.highest[service], measured, assumedBusy*float64(o.initial[service]))
 	}
 	if measured >= o.highest[service] || now >= o.lowersAt[service] {
 		o.highest[service] = measured
--- a/spokelease/lease.go
+++ b/spokelease/lease.go
@@ -52,8 +52,10 @@
 	// Delivery is the longest time an order takes to reach a server. A
 	// successor waits it out after the term.
 	Delivery spokeclock.Millis
-	// Quiet is how long a new holder does nothing yet, so that the duty cannot
-	// go back and forth within that time. Zero means that it acts at once.
+	// Quiet is how long the new holder of a released lease does nothing yet, so
+	// that the duty cannot go back and forth within that time. A lease that has
+	// lapsed needs no quiet, as its term has been waited out. Zero means that
+	// every holder acts at once.
 	Quiet spokeclock.Millis
 	// EligibleFunc reports whether this process should contend for the lease
 	// while it does not hold it, so that few read its row. Nil means always.
@@ -158,7 +160,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if next.Fence != l.fence {
-		l.actsFrom = started + l.Quiet
+		l.actsFrom = started
+		if old.Holder == "" && old.Fence > 0 {
+			l.actsFrom += l.Quiet
+		}
 		l.Log.Info().Str("lease", l.Name).Int64("fence", int64(next.Fence)).Msg("Lease acquired.")
 	}
 	l.fence = next.Fence
