--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -40,7 +40,7 @@
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
 	median := r.medianGap(service)
-	var candidates []spokeroute.Candidate
+	candidates := make([]spokeroute.Candidate, 0, len(r.servers))
 	for name, s := range r.servers {
 		if s.instance.Service != service {
 			continue
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -92,14 +92,18 @@
 	}
 	s, known := c.services[name]
 	if !known {
-		members := float64(max(1, c.MembersFunc()))
-		s = &service{budget: spokeretry.Budget{Ratio: c.RetryRatio * budgetMargin, Reserve: max(1, c.RetryReserve*budgetMargin/members)}}
+		s = &service{budget: spokeretry.Budget{Ratio: c.RetryRatio * budgetMargin, ReserveFunc: c.retryReserve}}
 		s.policy.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Choices need no secrecy.
 		c.services[name] = s
 	}
 	return s
 }
 
+// retryReserve is this instance's part of the repeats that may be saved up.
+func (c *Core) retryReserve() float64 {
+	return max(1, c.RetryReserve*budgetMargin/float64(max(1, c.MembersFunc())))
+}
+
 // freshAnswer is the age up to which an answer shows that its data centre can
 // be reached, whatever its entry instances do.
 const freshAnswer = 500 * spokeclock.Millis(1)
--- a/spokelimit/pool.go
+++ b/spokelimit/pool.go
@@ -25,6 +25,8 @@
 	intervalMemory = 3
 	// agreeInterval bounds the work of parts that follow demand.
 	agreeInterval = 100 * spokeclock.Millis(1)
+	// sumInterval is how old sums over all instances may be.
+	sumInterval = 20 * spokeclock.Millis(1)
 	// forgetSilence is how long a silent peer is assumed to go on spending its
 	// part. It is longer than the partitions that callers outlast.
 	forgetSilence = 15 * spokeclock.Second
@@ -59,6 +61,7 @@
 	peers      map[string]*spender
 	own        map[string]int64
 	agreedAt   spokeclock.Millis
+	members    int
 }
 
 // Tolerance is what may be spent beyond an allotment in any window, because
@@ -86,6 +89,10 @@
 	demand spokerate.Rate
 	// agreed is this instance's part as it was when all peers were last heard.
 	agreed float64
+	// summed and unheard are sums over all instances as they were at a time.
+	summed   float64
+	unheard  float64
+	summedAt spokeclock.Millis
 	// draw is the chance drawn last.
 	draw    float64
 	drawnAt spokeclock.Millis
@@ -174,15 +181,30 @@
 // partOf is the part that falls to a demand: some of it equal, the rest in
 // proportion.
 func (p *Pool) partOf(workspace string, a *allotment, demand float64, now spokeclock.Millis) float64 {
-	members := float64(max(1, p.MembersFunc(), len(p.peers)+1))
-	all := a.demand.PerSecond(now)
-	for _, peer := range p.peers {
-		all += peer.demand(workspace, now)
-	}
+	members := float64(max(1, p.members, len(p.peers)+1))
+	all := p.allDemand(workspace, a, now)
 	if all <= 0 {
 		return 1 / members
 	}
-	return equalPart/members + (1-equalPart)*demand/all
+	return equalPart/members + (1-equalPart)*min(1, demand/all)
+}
+
+// allDemand is the demand on an allotment over all instances. It is summed now
+// and then, as there may be many peers.
+func (p *Pool) allDemand(workspace string, a *allotment, now spokeclock.Millis) float64 {
+	if a.summed > 0 && now-a.summedAt < sumInterval {
+		return a.summed
+	}
+	a.summedAt = now
+	a.summed = a.demand.PerSecond(now)
+	a.unheard = a.summed * float64(p.lag())
+	for _, peer := range p.peers {
+		demand := peer.demand(workspace, now)
+		a.summed += demand
+		a.unheard += demand * float64(peer.interval+countLag)
+	}
+	p.members = p.MembersFunc()
+	return a.summed
 }
 
 // agree works this instance's parts out anew, unless a peer is silent.
@@ -294,11 +316,8 @@
 // lagging is what peers may have spent that has not been heard yet, and what
 // they have not heard of this instance.
 func (p *Pool) lagging(w *spokeconfig.Workspace, a *allotment, now spokeclock.Millis) float64 {
-	unheard := a.demand.PerSecond(now) * float64(p.lag())
-	for _, peer := range p.peers {
-		unheard += peer.demand(w.Name, now) * float64(peer.interval+countLag)
-	}
-	return unheard / float64(spokeclock.Second)
+	p.allDemand(w.Name, a, now)
+	return a.unheard / float64(spokeclock.Second)
 }
 
 // waitFor returns the time until this instance's part would allow a request.
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -198,6 +198,21 @@
 	return identities
 }
 
+// Count returns the number of live instances that are linked to, this one
+// included.
+func (v *View) Count() int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.Clock.Now()
+	count := 1
+	for _, p := range v.peers {
+		if p.live(now) && !p.draining {
+			count++
+		}
+	}
+	return count
+}
+
 // Reachable reports whether a data centre can be reached: it is this instance's
 // own, one of its instances is live, or none has ever been heard.
 func (v *View) Reachable(dataCentre string) bool {
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -18,7 +19,7 @@
 	redialStart = 100 * spokeclock.Millis(1)
 	redialLimit = 2 * spokeclock.Second
 	turnStart   = 1000
-	// wakeSpacing is the least time between two heartbeats.
+	// wakeSpacing is the time in which wakes are gathered for one heartbeat.
 	wakeSpacing = 40 * spokeclock.Millis(1)
 	// placesBeats is the number of heartbeats for each unchanged summary.
 	placesBeats = 2
@@ -126,14 +127,15 @@
 // awaitBeat waits for the next heartbeat and reports false when the link has
 // broken.
 func (l *link) awaitBeat(ctx context.Context, rpc *jsonrpc2.Conn) bool {
-	pause, cancel := context.WithTimeout(ctx, l.node.heartbeatInterval().Duration())
-	defer cancel()
-	_ = spokeclock.Sleep(pause, wakeSpacing)
+	timer := time.NewTimer(l.node.heartbeatInterval().Duration())
+	defer timer.Stop()
 	select {
 	case <-rpc.DisconnectNotify():
 		return false
 	case <-l.wakes:
-	case <-pause.Done():
+		_ = spokeclock.Sleep(ctx, wakeSpacing)
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 	return true
 }
--- a/spokeretry/budget.go
+++ b/spokeretry/budget.go
@@ -14,6 +14,11 @@
 	Ratio float64
 	// Reserve is the largest number of retries saved up. Zero means 10.
 	Reserve float64
+	// ReserveFunc replaces Reserve by a number that changes, such as a part of
+	// what many processes share. The budget then begins with half of it, as an
+	// earlier run of the process may have spent the rest. It is called with the
+	// budget locked.
+	ReserveFunc func() float64
 
 	mutex  sync.Mutex
 	filled bool
@@ -46,6 +51,9 @@
 	}
 	b.filled = true
 	b.tokens = b.reserve()
+	if b.ReserveFunc != nil {
+		b.tokens /= 2
+	}
 }
 
 func (b *Budget) ratio() float64 {
@@ -56,6 +64,9 @@
 }
 
 func (b *Budget) reserve() float64 {
+	if b.ReserveFunc != nil {
+		return b.ReserveFunc()
+	}
 	if b.Reserve == 0 {
 		return defaultReserve
 	}
--- a/spokeroute/policy.go
+++ b/spokeroute/policy.go
@@ -55,20 +55,21 @@
 // usableFor drops leaving and suspended servers, and those already tried
 // unless no others are left.
 func usableFor(candidates []Candidate, request Request) []Candidate {
-	var live, fresh []Candidate
+	fresh := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if c.Leaving {
-			continue
-		}
-		live = append(live, c)
-		if !c.Suspended && !slices.Contains(request.Avoid, c.Name) {
+		if !c.Leaving && !c.Suspended && !slices.Contains(request.Avoid, c.Name) {
 			fresh = append(fresh, c)
 		}
 	}
 	if len(fresh) > 0 {
 		return fresh
 	}
-	return live
+	for _, c := range candidates {
+		if !c.Leaving {
+			fresh = append(fresh, c)
+		}
+	}
+	return fresh
 }
 
 func (p *Policy) byTurn(usable []Candidate) Decision {
--- a/spokeusage/ledger.go
+++ b/spokeusage/ledger.go
@@ -1,6 +1,7 @@
 package spokeusage
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +30,8 @@
 
 	mutex sync.Mutex
 	own   map[Window]map[string]int64
+	// told are the own counts under the names that peers are told.
+	told  map[string]int64
 	peers map[run]map[Window]map[string]int64
 }
 
@@ -63,8 +66,27 @@
 		l.own = make(map[Window]map[string]int64)
 	}
 	now := l.Now()
+	if len(l.own[now]) == 0 {
+		prune(l.own, now)
+		l.retell()
+	}
 	count(l.own, now, workspace, l.own[now][workspace]+1)
-	prune(l.own, now)
+	l.told[name(now, workspace)] = l.own[now][workspace]
+}
+
+// retell names the counts anew when a window begins.
+func (l *Ledger) retell() {
+	l.told = make(map[string]int64)
+	for w, workspaces := range l.own {
+		for workspace, count := range workspaces {
+			l.told[name(w, workspace)] = count
+		}
+	}
+}
+
+// name is what peers are told a count under.
+func name(w Window, workspace string) string {
+	return begunPrefix + strconv.FormatInt(int64(w), 10) + "/" + workspace
 }
 
 func count(windows map[Window]map[string]int64, w Window, workspace string, value int64) {
@@ -86,13 +108,7 @@
 func (l *Ledger) Counts() map[string]int64 {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	counts := make(map[string]int64)
-	for w, workspaces := range l.own {
-		for workspace, count := range workspaces {
-			counts[begunPrefix+strconv.FormatInt(int64(w), 10)+"/"+workspace] = count
-		}
-	}
-	return counts
+	return maps.Clone(l.told)
 }
 
 // TakeCounts takes in the counts of one run of a peer that have changed. Keys
@@ -107,16 +123,16 @@
 	if l.peers[key] == nil {
 		l.peers[key] = make(map[Window]map[string]int64)
 	}
-	for name, value := range counts {
-		if w, workspace, ok := parse(name); ok {
+	for counted, value := range counts {
+		if w, workspace, ok := parse(counted); ok {
 			count(l.peers[key], w, workspace, value)
 		}
 	}
 	prune(l.peers[key], l.Now())
 }
 
-func parse(name string) (Window, string, bool) {
-	rest, begun := strings.CutPrefix(name, begunPrefix)
+func parse(counted string) (Window, string, bool) {
+	rest, begun := strings.CutPrefix(counted, begunPrefix)
 	number, workspace, cut := strings.Cut(rest, "/")
 	w, err := strconv.ParseInt(number, 10, 64)
 	return Window(w), workspace, begun && cut && err == nil
