route: compare a few servers when many instances choose; size work by slots

A token of a batch of 12 also costs more than one of 24. Ruled out: too few servers, 49% of the slots were taken. Change: above 16 choosers the home of the beginning, the last server used for it and three at random are compared. Work counts the step of the batch that the slots allow.

--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -131,5 +131,7 @@
 	if request.Service.Kind == spokeconfig.ServiceModel && s.policy.Routing == spokeconfig.RoutingScore {
 		s.policy.Routing = spokeconfig.RoutingForecast
 	}
-	return s.policy.Choose(candidates, spokeroute.Request{Avoid: avoid, Prompt: request.PromptTokens, Shared: shared, Affinity: affinity})
+	return s.policy.Choose(candidates, spokeroute.Request{
+		Avoid: avoid, Prompt: request.PromptTokens, Shared: shared, Affinity: affinity, Choosers: c.MembersFunc(),
+	})
 }
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -201,7 +201,7 @@
 		return
 	}
 	expected := r.service.answers.expect(r.request.Route.Name, r.request.AnswerTokens)
-	r.core.WorkFunc(r.request.Service.Name, spokeroute.Work(r.unread, expected))
+	r.core.WorkFunc(r.request.Service.Name, spokeroute.Work(r.unread, expected, engine.Slots))
 }
 
 // learnAnswer notes how long the answer was against what was declared.
--- a/spokeroute/candidate.go
+++ b/spokeroute/candidate.go
@@ -47,6 +47,8 @@
 	Prompt int
 	// Shared is how many of them begin other requests' prompts too.
 	Shared int
+	// Choosers is the number of instances that choose among the same servers.
+	Choosers int
 	// Affinity is the key of that beginning. Zero means none.
 	Affinity uint64
 }
--- a/spokeroute/forecast.go
+++ b/spokeroute/forecast.go
@@ -27,18 +27,31 @@
 	// cutOffDelay keeps new work from a data centre that cannot be reached while
 	// there is any other.
 	cutOffDelay = 5000.0
+	// fewChoosers is the number of instances that hear of each other fast enough
+	// to choose among all servers.
+	fewChoosers = 16
+	// sampleSize is how many servers are compared otherwise.
+	sampleSize = 3
 	// jitterDelay parts servers that look alike, so that instances with the same
 	// knowledge do not all take the same.
 	jitterDelay = 2.0
 )
 
-// tokenTime is an engine's time for one token of an answer, shared by a usual
-// batch, in milliseconds.
-const tokenTime = 0.22
+const (
+	// stepTime and stepEach are an engine's time for one step of its batch, in
+	// milliseconds: for any step, and for each request in it.
+	stepTime = 2.9
+	stepEach = 0.1
+	// usualBatch is the batch that engines with many slots run within their
+	// latency targets.
+	usualBatch = 24
+)
 
-// Work returns the time that a request keeps an engine busy.
-func Work(unread, answered int) spokeclock.Millis {
-	return spokeclock.Millis(float64(unread)/readRate + float64(answered)*tokenTime)
+// Work returns the time that a request keeps an engine with so many slots busy.
+// A token takes its part of a step that a whole batch shares.
+func Work(unread, answered, slots int) spokeclock.Millis {
+	batch := float64(min(max(1, slots), usualBatch))
+	return spokeclock.Millis(float64(unread)/readRate + float64(answered)*(stepTime/batch+stepEach))
 }
 
 // byForecast chooses the server with the earliest expected first token. The
@@ -50,6 +63,7 @@
 		return Decision{server: usable[0].Name, reason: ReasonOnlyCandidate, cost: forecast(usable[0], request.Prompt), unread: request.Prompt}
 	}
 	home := homeOf(usable, request.Affinity)
+	usable, home = p.sample(usable, home, request.Choosers)
 	best, bestUnread, bestCost := -1, 0, math.Inf(1)
 	for i, c := range usable {
 		unread := request.Prompt
@@ -68,6 +82,35 @@
 	return Decision{server: usable[best].Name, reason: reason, cost: bestCost, unread: bestUnread}
 }
 
+// sample leaves a few candidates when many instances choose at once by the same
+// late knowledge, as they would otherwise all take the same. The home stays, and
+// so does a server that this instance has just used for the same beginning.
+func (p *Policy) sample(usable []Candidate, home, choosers int) ([]Candidate, int) {
+	if choosers <= fewChoosers || len(usable) <= sampleSize+1 {
+		return usable, home
+	}
+	sampled := make([]Candidate, 0, sampleSize+2)
+	sampledHome := -1
+	if home >= 0 {
+		sampled = append(sampled, usable[home])
+		sampledHome = 0
+	}
+	for i, c := range usable {
+		if c.Cached && i != home {
+			sampled = append(sampled, c)
+		}
+	}
+	for range sampleSize {
+		if at := p.Random.IntN(len(usable)); at != home {
+			sampled = append(sampled, usable[at])
+		}
+	}
+	if len(sampled) == 0 {
+		return usable[:1], -1
+	}
+	return sampled, sampledHome
+}
+
 // homeOf returns the candidate that rendezvous hashing gives for a key, or -1.
 func homeOf(usable []Candidate, key uint64) int {
 	if key == 0 {
