core: compare two servers of a plain service when many instances choose

Tried and reverted: refusing at once what the forecast expects beyond its target. Forecasts from late knowledge refuse what would have been served. Change: the policy of two random choices for plain services above 16 choosers; the declared policy goes first.

--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -104,6 +104,22 @@
 	return max(1, c.RetryReserve*budgetMargin/float64(max(1, c.MembersFunc())))
 }
 
+// routing returns the policy for a service that declares none of its own. When
+// many instances choose by late knowledge, two random servers of a plain service
+// are compared, so that they do not all take the same.
+func routing(service *spokeconfig.Service, choosers int) spokeconfig.Routing {
+	switch {
+	case service.Routing != "" && service.Routing != spokeconfig.RoutingScore:
+		return service.Routing
+	case service.Kind == spokeconfig.ServiceModel:
+		return spokeconfig.RoutingForecast
+	case choosers > spokeroute.FewChoosers:
+		return spokeconfig.RoutingTwoChoices
+	default:
+		return spokeconfig.RoutingScore
+	}
+}
+
 // freshAnswer is the age up to which an answer shows that its data centre can
 // be reached, whatever its entry instances do.
 const freshAnswer = 500 * spokeclock.Millis(1)
@@ -127,10 +143,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.policy.Routing = request.Service.Routing
-	if request.Service.Kind == spokeconfig.ServiceModel && s.policy.Routing == spokeconfig.RoutingScore {
-		s.policy.Routing = spokeconfig.RoutingForecast
-	}
+	s.policy.Routing = routing(request.Service, c.MembersFunc())
 	return s.policy.Choose(candidates, spokeroute.Request{
 		Avoid: avoid, Prompt: request.PromptTokens, Shared: shared, Affinity: affinity, Choosers: c.MembersFunc(),
 	})
--- a/spokeroute/forecast.go
+++ b/spokeroute/forecast.go
@@ -8,6 +8,10 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 )
 
+// FewChoosers is the number of instances that hear of each other fast enough to
+// choose among all servers.
+const FewChoosers = 16
+
 // The forecast counts in milliseconds until the first token.
 const (
 	// readRate is the prompt tokens that an engine reads in a millisecond. Only
@@ -27,10 +31,7 @@
 	// cutOffDelay keeps new work from a data centre that cannot be reached while
 	// there is any other.
 	cutOffDelay = 5000.0
-	// fewChoosers is the number of instances that hear of each other fast enough
-	// to choose among all servers.
-	fewChoosers = 16
-	// sampleSize is how many servers are compared otherwise.
+	// sampleSize is how many servers are compared when more instances choose.
 	sampleSize = 3
 	// jitterDelay parts servers that look alike, so that instances with the same
 	// knowledge do not all take the same.
@@ -86,7 +87,7 @@
 // late knowledge, as they would otherwise all take the same. The home stays, and
 // so does a server that this instance has just used for the same beginning.
 func (p *Policy) sample(usable []Candidate, home, choosers int) ([]Candidate, int) {
-	if choosers <= fewChoosers || len(usable) <= sampleSize+1 {
+	if choosers <= FewChoosers || len(usable) <= sampleSize+1 {
 		return usable, home
 	}
 	sampled := make([]Candidate, 0, sampleSize+2)
