usage, lease, log: script the holders of a duty; bound the log

Logs go through a ring of 2,000 lines that never blocks and are bounded to 400 lines a second; what is dropped is counted in the log.

--- a/cmd/mulberryspoke/platform.go
+++ b/cmd/mulberryspoke/platform.go
@@ -16,6 +16,7 @@
 type platformCommand struct {
 	SettingsPath string `long:"settings" env:"MULBERRYSPOKE_BOOT" description:"Settings file of the platform" required:"true"`
 	LogLevel     string `long:"log-level" env:"MULBERRYSPOKE_LOG_LEVEL" description:"debug, info, warn or error" default:"info"`
+	LogLines     int    `long:"log-lines-per-second" env:"MULBERRYSPOKE_LOG_LINES" description:"Largest number of log lines a second" default:"400"`
 	Trace        string `long:"trace" env:"MULBERRYSPOKE_TRACE" description:"Exporter of traces: none or json (to standard error)" default:"none"`
 }
 
@@ -26,7 +27,9 @@
 	if err != nil {
 		return err
 	}
-	logs, err := spokelog.New(os.Stdout, c.LogLevel)
+	ring := spokelog.Ring(os.Stdout)
+	defer func() { _ = ring.Close() }()
+	logs, err := spokelog.New(&spokelog.Bounded{PerSecond: c.LogLines, Out: ring}, c.LogLevel)
 	if err != nil {
 		return err
 	}
--- a/spokelease/lease.go
+++ b/spokelease/lease.go
@@ -77,8 +77,8 @@
 	if l.Term == 0 {
 		l.Term = defaultTerm
 	}
-	spokeclock.Every(ctx, l.Term/renewals, func() { l.step(ctx) })
-	l.release()
+	spokeclock.Every(ctx, l.Term/renewals, func() { l.Step(ctx) })
+	l.Release()
 }
 
 // Held returns the fencing number, and whether the lease is held at this
@@ -98,7 +98,9 @@
 	return l.Clock.Now() < l.heldUntil
 }
 
-func (l *Lease) step(ctx context.Context) {
+// Step makes one round of acquiring or renewing the lease. Run calls it at an
+// interval.
+func (l *Lease) Step(ctx context.Context) {
 	if !l.holds() && l.EligibleFunc != nil && !l.EligibleFunc() {
 		return
 	}
@@ -183,7 +185,8 @@
 	return next
 }
 
-func (l *Lease) release() {
+// Release gives the lease up, if it is held. Run calls it at its end.
+func (l *Lease) Release() {
 	held := l.holds()
 	l.mutex.Lock()
 	fence := l.fence
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -17,7 +17,8 @@
 )
 
 type leaseCase struct {
-	Name  string `yaml:"name"`
+	Quiet spokeclock.Millis `yaml:"quiet_millis"`
+	Name  string            `yaml:"name"`
 	Steps []struct {
 		Note       string            `yaml:"note"`
 		Advance    spokeclock.Millis `yaml:"advance_millis"`
@@ -50,7 +51,7 @@
 	leases := make(map[string]*spokelease.Lease)
 	for _, name := range []string{"a", "b"} {
 		leases[name] = &spokelease.Lease{
-			ReadFunc: table.Read, TransactFunc: table.Transact, Clock: clock.Clock(), Name: "duty", Holder: name, Term: 6000, Delivery: 2000, Log: zerolog.Nop(),
+			ReadFunc: table.Read, TransactFunc: table.Transact, Clock: clock.Clock(), Name: "duty", Holder: name, Term: 6000, Delivery: 2000, Quiet: c.Quiet, Log: zerolog.Nop(),
 		}
 	}
 	set := func(faults spokestandin.Faults) {
--- /dev/null
+++ b/spokelog/bounded_test.go
@@ -0,0 +1,30 @@
+package spokelog_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokelog"
+)
+
+// TestBounded checks that the volume is bounded and what is dropped counted.
+func TestBounded(t *testing.T) {
+	var out bytes.Buffer
+	var clock spokeclock.Manual
+	clock.Advance(spokeclock.Second)
+	b := &spokelog.Bounded{PerSecond: 3, Clock: clock.Clock(), Out: &out}
+	for range 10 {
+		n, err := b.Write([]byte("line\n"))
+		require.NoError(t, err)
+		require.Equal(t, 5, n)
+	}
+	require.Equal(t, 3, strings.Count(out.String(), "line\n"))
+	clock.Advance(spokeclock.Second)
+	_, _ = b.Write([]byte("line\n"))
+	require.Contains(t, out.String(), `"dropped":7`)
+	require.Equal(t, 4, strings.Count(out.String(), "line\n"))
+}
