platform: read the settings again, on SIGHUP and now and then

Cause: SIGHUP ended the process, as Go does by default; the settings may also change without a signal.

--- a/cmd/mulberryspoke/platform.go
+++ b/cmd/mulberryspoke/platform.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"mulberryspoke.example/mulberryspoke/platform"
 	"mulberryspoke.example/mulberryspoke/spokelog"
@@ -41,6 +43,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go onSignals(cancel, func() { os.Exit(exitFailed) })
-	process := &platform.Process{Settings: settings, Logs: logs.With("instance", settings.Node)}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	process := &platform.Process{Settings: settings, Path: c.SettingsPath, Reloads: reloads, Logs: logs.With("instance", settings.Node)}
 	return process.Run(ctx)
 }
