--- a/cmd/mulberryspoke/platform.go
+++ b/cmd/mulberryspoke/platform.go
@@ -16,7 +16,7 @@
 
 // platformCommand runs an entry instance on the users' platform.
 type platformCommand struct {
-	SettingsPath string `long:"settings" env:"MULBERRYSPOKE_BOOT" description:"Settings file of the platform" required:"true"`
+	SettingsPath string `long:"settings" description:"Settings file; if empty, the one that the platform names"`
 	LogLevel     string `long:"log-level" env:"MULBERRYSPOKE_LOG_LEVEL" description:"debug, info, warn or error" default:"info"`
 	LogLines     int    `long:"log-lines-per-second" env:"MULBERRYSPOKE_LOG_LINES" description:"Largest number of log lines a second" default:"400"`
 	Trace        string `long:"trace" env:"MULBERRYSPOKE_TRACE" description:"Exporter of traces: none or json (to standard error)" default:"none"`
@@ -25,6 +25,9 @@
 // Execute serves until a first signal, then shuts down. A second signal ends
 // the process at once.
 func (c *platformCommand) Execute([]string) error {
+	if c.SettingsPath == "" {
+		c.SettingsPath = os.Getenv(platform.SettingsVariable)
+	}
 	settings, err := platform.ReadSettings(c.SettingsPath)
 	if err != nil {
 		return err
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -115,6 +115,9 @@
 		refusal.kind = KindBroken
 	case r.request.Deadline-r.core.Clock.Now() < leastLeft:
 		refusal.kind = KindTimeout
+		if refusal.notRun {
+			refusal.after = returnSoon
+		}
 	case kind == KindNoServer:
 		refusal.after = returnLater
 	case refusal.notRun && spokeerror.KindOf[Kind](cause) == KindNotRun:
--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -32,8 +32,9 @@
 	massShare = 0.34
 	// massLeast is the number of rows below which nothing counts as a mass.
 	massLeast = 3
-	// longestWait bounds one question for changes.
-	longestWait = 8 * spokeclock.Second
+	// longestWait bounds one question for changes. A connection that falls silent
+	// meanwhile ends by its probes.
+	longestWait = 20 * spokeclock.Second
 	retryStart  = 100 * spokeclock.Millis(1)
 	retryLimit  = spokeclock.Second
 )
