feed: tell a dead connection from an outage, and wait no longer than the bounds

The log shows a waiting question that was left unanswered when its connection fell silent at 24.2 s and timed out at 29.0 s, 21.5 s after it was sent; the follower took that for an outage, noticed the "return" only with the next change at 31.1 s, and then doubted removals until 33.3 s. Change: after one unanswered question the next asks without waiting; only if that fails too is the table away.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -32,11 +32,13 @@
 	massShare = 0.34
 	// massLeast is the number of rows below which nothing counts as a mass.
 	massLeast = 3
-	// longestWait bounds one question for changes. A connection that falls silent
-	// meanwhile ends by its probes.
-	longestWait = 20 * spokeclock.Second
-	retryStart  = 100 * spokeclock.Millis(1)
-	retryLimit  = spokeclock.Second
+	// defaultWait bounds one question for changes.
+	defaultWait = 3 * spokeclock.Second
+	// probeWait is the wait of a question that only asks whether the table
+	// answers.
+	probeWait  = spokeclock.Millis(1)
+	retryStart = 100 * spokeclock.Millis(1)
+	retryLimit = spokeclock.Second
 )
 
 // Change is a row as it became. A row that is gone has no value.
@@ -62,6 +64,9 @@
 	AppliedFunc func(rows map[string]spoketable.Row)
 	// PauseFunc returns the time between two questions. Nil means none.
 	PauseFunc func() spokeclock.Millis
+	// Wait is the longest wait of one question. A connection may fall silent for
+	// good, so that nothing is heard for as long. Zero means three seconds.
+	Wait spokeclock.Millis
 	// Settles says that rows may lapse while the table is away.
 	Settles bool
 	// Clock tells the time. Nil means the real one.
@@ -73,6 +78,7 @@
 	version     spoketable.Version
 	loaded      bool
 	away        bool
+	probing     bool
 	failedSince spokeclock.Millis
 	settled     spokeclock.Millis
 	doubted     map[string]spokeclock.Millis
@@ -127,15 +133,26 @@
 		f.Log.Info().Str("table", f.Name).Int64("version", int64(f.version)).Msg("History lost, reading the whole table.")
 		f.loaded = false
 		return f.load(ctx)
+	case !f.probing:
+		// One question without an answer may be a dead connection.
+		f.probing = true
+		return true
 	default:
 		f.failed(ctx, err)
 		return false
 	}
 }
 
-// wait is how long to wait for changes: not beyond the end of a doubt.
+// wait is how long to wait for changes: not beyond the end of a doubt, and not
+// at all while it is not known whether the table answers.
 func (f *Follower) wait() spokeclock.Millis {
-	wait := longestWait
+	if f.probing {
+		return probeWait
+	}
+	wait := f.Wait
+	if wait == 0 {
+		wait = defaultWait
+	}
 	now := f.Clock.Now()
 	for _, until := range f.doubted {
 		wait = min(wait, max(1, until-now))
@@ -171,6 +188,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.probing = true
 	if !f.away {
 		f.away = true
 		f.failedSince = f.Clock.Now()
@@ -179,6 +197,7 @@
 }
 
 func (f *Follower) answered() {
+	f.probing = false
 	if !f.away {
 		return
 	}
--- a/spokefeed/follower_test.go
+++ b/spokefeed/follower_test.go
@@ -18,7 +18,10 @@
 
 type followStep struct {
 	Advance spokeclock.Millis `yaml:"advance_millis"`
-	// Down says that the table does not answer.
+	// Unanswered says that a question gets no answer. The next one tells a dead
+	// connection from a table that is away.
+	Unanswered bool `yaml:"unanswered"`
+	// Down says that the table does not answer then either.
 	Down bool `yaml:"down"`
 	// HistoryLost says that the changes are no longer kept.
 	HistoryLost bool `yaml:"history_lost"`
@@ -52,7 +55,7 @@
 	f := &spokefeed.Follower{
 		Name: "table", Settles: c.Settles, Clock: clock.Clock(), Log: zerolog.Nop(),
 		ReadAllFunc: func(context.Context) ([]spoketable.Row, spoketable.Version, error) {
-			if now.Down {
+			if now.Down || now.Unanswered {
 				return nil, 0, spokeerror.New("read", spokefeed.KindUnavailable, nil)
 			}
 			return rowsOf(now.Table), 1, nil
@@ -72,7 +75,7 @@
 
 func (s followStep) changes() ([]spokefeed.Change, spoketable.Version, error) {
 	switch {
-	case s.Down:
+	case s.Down, s.Unanswered:
 		return nil, 0, spokeerror.New("read", spokefeed.KindUnavailable, nil)
 	case s.HistoryLost:
 		return nil, 0, spokeerror.New("read", spokefeed.KindHistoryLost, nil)
