--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 BIN := $(CURDIR)/bin
 LINT_VERSION := v2.15.0
 GOA_VERSION := v3.25.3
+# Seeds of the fault soak on the users' platform, first and behind the last.
+SEEDS ?= 1:51
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 
 .PHONY: test demo lint build unit generate measure capacity soak
@@ -27,6 +29,7 @@
 
 soak: build
 	MULBERRYSPOKE_SOAK=1 MULBERRYSPOKE_RACE=1 go test -count=1 -timeout 60m ./integration/...
+	MULBERRYSPOKE_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 60m -run TestSoak ./platform
 
 measure: build
 	$(BIN)/mulberryload measure --out docs
