feed: doubt only what went while the table was away

Two instances had been cut off from a sound store until 13.0 s and regained it at 13.97 s; servers that left at 14.01 s were doubted until 16.17 s as if they had lapsed with the store. Ruled out: the mass rule, which doubts for 1.3 s.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// settleTime is the time within which rows come back that lapsed while the
-	// table was away.
-	settleTime = 2200 * spokeclock.Millis(1)
+	// settleTime is the time within which most rows come back that lapsed while
+	// the table was away. It ends before the promises hold again.
+	settleTime = 1900 * spokeclock.Millis(1)
 	// doubtTime is how long rows are kept that vanish in a mass although the
 	// table seemed well. It ends before a leaving server must be left alone.
 	doubtTime = 1300 * spokeclock.Millis(1)
@@ -80,7 +80,7 @@
 	away        bool
 	probing     bool
 	failedSince spokeclock.Millis
-	settled     spokeclock.Millis
+	justBack    bool
 	doubted     map[string]spokeclock.Millis
 }
 
@@ -203,7 +203,7 @@
 	}
 	f.away = false
 	now := f.Clock.Now()
-	f.settled = now + settleTime
+	f.justBack = true
 	f.Log.Info().Str("table", f.Name).Int64("away_millis", int64(now-f.failedSince)).Msg("Table regained.")
 }
 
@@ -240,11 +240,18 @@
 	}
 }
 
-// doubtUntil returns until when removals are not believed.
+// doubtUntil returns until when removals are not believed. What was removed
+// while the table was away may only have lapsed. What is removed afterwards has
+// not, unless it is a mass.
 func (f *Follower) doubtUntil(changes []Change, now spokeclock.Millis) spokeclock.Millis {
+	justBack := f.justBack
+	f.justBack = false
 	if !f.Settles {
 		return now
 	}
+	if justBack {
+		return now + settleTime
+	}
 	gone := 0
 	for _, change := range changes {
 		if change.Gone {
@@ -252,7 +259,7 @@
 		}
 	}
 	if gone >= massLeast && float64(gone) > massShare*float64(len(f.rows)) {
-		return max(f.settled, now+doubtTime)
+		return now + doubtTime
 	}
-	return max(f.settled, now)
+	return now
 }
