--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -124,9 +124,6 @@
 	Body io.ReadCloser
 	// Load is the server's load as the answer tells it, or nil.
 	Load *spokeengine.Load
-	// Slow is how long work takes on the server's machine against the usual
-	// time, 1 being as usual. Zero means unknown.
-	Slow float64
 }
 
 // Exchange is the front's side of one request. Its functions are called from
--- a/spokecore/watch.go
+++ b/spokecore/watch.go
@@ -7,7 +7,6 @@
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
-	"mulberryspoke.example/mulberryspoke/spokeconfig"
 )
 
 const (
@@ -23,12 +22,10 @@
 // watch notices when a server is silent for too long. It ends the attempt only
 // if the request may be repeated.
 type watch struct {
-	clock   *spokeclock.Clock
-	work    *spokebackend.Work
-	cancel  context.CancelCauseFunc
-	mayEnd  func() bool
-	gap     spokeclock.Millis
-	isEvent bool
+	work   *spokebackend.Work
+	cancel context.CancelCauseFunc
+	mayEnd func() bool
+	gap    spokeclock.Millis
 
 	mutex sync.Mutex
 	timer *time.Timer
@@ -39,12 +36,11 @@
 func (r *run) watch(work *spokebackend.Work, cancel context.CancelCauseFunc) *watch {
 	route := r.request.Route
 	w := &watch{
-		clock: r.core.Clock, work: work, cancel: cancel,
+		work: work, cancel: cancel,
 		mayEnd: func() bool {
 			return r.request.repeatable() && r.ran < r.request.maxAttempts()
 		},
-		gap:     max(leastSilence, gapFactor*route.GapTarget),
-		isEvent: route.Kind == spokeconfig.RouteStream,
+		gap: max(leastSilence, gapFactor*route.GapTarget),
 	}
 	if route.LatencyTarget > 0 {
 		w.timer = time.AfterFunc(max(leastSilence, lateFactor*route.LatencyTarget).Duration(), w.lapse)
