--- a/spokeconfig/snapshot.go
+++ b/spokeconfig/snapshot.go
@@ -85,6 +85,9 @@
 	return workspace, ok
 }
 
+// HasWorkspaces reports whether callers belong to workspaces, and so need keys.
+func (s *Snapshot) HasWorkspaces() bool { return len(s.declaration.Workspaces) > 0 }
+
 // Mark returns the operator's wish for an instance, or MarkNone.
 func (s *Snapshot) Mark(instance string) MarkKind {
 	if kind, ok := s.marks[instance]; ok {
--- a/spokelimit/pool.go
+++ b/spokelimit/pool.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// leastDepth is the part of a second's rate that may be saved up where no
+	// burst is declared, as requests do not come evenly.
+	leastDepth = 0.2
 	// equalPart is the part of an allotment that is divided equally, so that an
 	// instance without demand so far can serve its first requests.
 	equalPart = 0.25
@@ -163,8 +166,9 @@
 	span := float64(now-a.at) / float64(spokeclock.Second)
 	a.at = now
 	part := p.part(w.Name, a, now)
-	a.level = min(w.Allotment.Burst, a.level+w.Allotment.PerSecond*span)
-	a.credit = min(w.Allotment.Burst*part, a.credit+w.Allotment.PerSecond*part*span)
+	depth := max(1, w.Allotment.Burst, w.Allotment.PerSecond*leastDepth)
+	a.level = min(depth, a.level+w.Allotment.PerSecond*span)
+	a.credit = min(depth*part, a.credit+w.Allotment.PerSecond*part*span)
 	p.assumeSilent(w, a, span, now)
 	return a
 }
