fleet: plan no stops while a start is uncertain

The rows at the violation, which the script now prints, show the new instance leaving by the plan: its start had no answer, so that it counted twice, as listed and as pending, and was given back as surplus. Change: unanswered starts are asked for again before a plan is made, and nothing is stopped while one has no answer.

--- a/integration/runner_test.go
+++ b/integration/runner_test.go
@@ -404,7 +404,7 @@
 	for {
 		met := r.met(name, s)
 		if s.Holds > 0 && !met {
-			r.violated("%s: %q at %s did not hold", where, s.Query, name)
+			r.violated("%s: %q at %s did not hold: %s", where, s.Query, name, r.rowsNow(name))
 			return
 		}
 		if s.Holds == 0 && met {
@@ -420,6 +420,22 @@
 	}
 }
 
+// rowsNow tells what an entry instance knows of the servers, to explain a
+// violation.
+func (r *runner) rowsNow(name string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	table, err := r.operator(name).Ask(ctx, "servers")
+	if err != nil {
+		return err.Error()
+	}
+	var rows []string
+	for _, row := range table.Rows {
+		rows = append(rows, strings.Join(row.Cells, " "))
+	}
+	return strings.Join(rows, "; ")
+}
+
 func (r *runner) met(name string, s *awaitStep) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/spokefleet/manager.go
+++ b/spokefleet/manager.go
@@ -99,6 +99,7 @@
 }
 
 func (m *Manager) manage(ctx context.Context, service *spokeconfig.Service, prices []spokeconfig.Price) {
+	m.startPending(ctx)
 	running, slots, inUse := m.observe(service.Name, prices)
 	m.demand[service.Name] = max(float64(inUse), demandMemory*m.demand[service.Name])
 	m.order(ctx, service.Name)
@@ -112,11 +113,20 @@
 		m.pending = append(m.pending, &start{token: uuid.NewString(), service: service.Name, option: option, begun: m.Clock.Now()})
 	}
 	m.startPending(ctx)
+	if m.uncertain(service.Name) {
+		return
+	}
 	for _, name := range plan.Stops() {
 		m.beginStop(name)
 	}
 }
 
+// uncertain reports whether a start has had no answer yet. Its instance may be
+// listed already and would then count twice.
+func (m *Manager) uncertain(service string) bool {
+	return slices.ContainsFunc(m.pending, func(s *start) bool { return s.service == service && s.name == "" })
+}
+
 // observe returns what runs or is being started, the slots of an instance, and
 // the requests under way.
 func (m *Manager) observe(service string, prices []spokeconfig.Price) (running []Running, slots, inUse int) {
