feed: end the doubt before a leaving server must be left alone

Two instances regained the store at 14.05 s after their own cut; a server that had left at 14.007 s was in that first answer and doubted for 1.9 s, to which the pause between questions came. Ruled out: removals after the return, mended before.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -23,8 +23,10 @@
 
 const (
 	// settleTime is the time within which most rows come back that lapsed while
-	// the table was away. It ends before the promises hold again.
-	settleTime = 1900 * spokeclock.Millis(1)
+	// the table was away. With the time until an absence is noticed to be over,
+	// and the pause between questions, it ends before a leaving server must be
+	// left alone.
+	settleTime = 1500 * spokeclock.Millis(1)
 	// doubtTime is how long rows are kept that vanish in a mass although the
 	// table seemed well. It ends before a leaving server must be left alone.
 	doubtTime = 1300 * spokeclock.Millis(1)
