--- a/spokefleet/orders.go
+++ b/spokefleet/orders.go
@@ -10,7 +10,6 @@
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
-	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokelease"
 )
 
@@ -83,7 +82,8 @@
 type given struct {
 	count int
 	at    spokeclock.Millis
-	dry   bool
+	// dry says that it was refused or not answered.
+	dry bool
 }
 
 // Run orders at an interval until ctx ends.
@@ -238,7 +238,7 @@
 		return
 	}
 	err := o.OrderFunc(ctx, fence, key, count)
-	o.given[key] = given{count: count, at: now, dry: spokeerror.KindOf[Kind](err) == KindNoneToBeHad || (err != nil)}
+	o.given[key] = given{count: count, at: now, dry: err != nil}
 	o.Log.Info().Str("service", service.Name).Str("data_centre", place).Bool("reclaimable", reclaimable).Int("count", count).
 		Int("have", have).Float64("work", o.highest[service.Name]).Int64("fence", int64(fence)).Err(err).Msg("Instances ordered.")
 }
