--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 
@@ -15,17 +16,16 @@
 
 // handWhole hands on an answer that is no series of events.
 func (r *run) handWhole(reply *Reply, work *spokebackend.Work) error {
-	r.running()
 	held, err := io.ReadAll(io.LimitReader(reply.Body, wholeLimit+1))
 	if err != nil {
 		return spokeerror.New("read answer", KindNoAnswer, err)
 	}
-	work.Token(true)
-	if reply.Failed && r.request.repeatable() && !r.handed {
-		if r.ran < r.request.maxAttempts() && r.service.budget.Allow() {
-			r.core.Counters.replaced.Inc()
-			return spokeerror.Newf("read answer", KindReplaced, "the backend server reports a failure")
-		}
+	if !reply.Recorded {
+		work.Token(true)
+	}
+	if reply.Failed && !r.handed && r.mayRunAgain() && r.service.budget.Allow() {
+		r.core.Counters.replaced.Inc()
+		return spokeerror.Newf("read answer", KindReplaced, "the backend server reports a failure")
 	}
 	if r.handed {
 		return spokeerror.Newf("read answer", KindSpoiled, "no events behind the last one")
@@ -65,31 +65,65 @@
 
 // handEvents hands on each event as it comes. An event that is cut short is
 // never handed on.
-func (r *run) handEvents(reply *Reply, work *spokebackend.Work, w *watch) error {
-	events := eventReader{source: reply.Body}
-	for first := true; ; first = false {
-		event, err := events.next()
-		if errors.Is(err, io.EOF) && r.handed {
-			return nil
-		}
-		if err != nil {
-			return spokeerror.New("read events", KindNoAnswer, err)
-		}
-		r.running()
-		r.events++
+func (r *run) handEvents(reply *Reply, work *spokebackend.Work, w *watch, cancel context.CancelCauseFunc) error {
+	first := true
+	var failed error
+	err := reply.EachFunc(func(event Event) error {
 		work.Token(first)
-		w.fed()
-		if !r.handed {
-			r.handed = true
-			r.exchange.BeginFunc(reply, -1)
-		}
-		w.pause()
-		if err := r.exchange.WriteFunc(event); err != nil {
-			return spokeerror.New("hand event on", KindGone, err)
+		w.event()
+		first = false
+		failed = r.handEvent(reply, event, w)
+		if failed == nil && r.shouldLeave(work) {
+			cancel(errSlow)
 		}
-		w.fed()
-		if id, ok := eventID(event); ok {
-			r.lastEvent = id
+		return failed
+	})
+	switch {
+	case failed != nil:
+		return failed
+	case err != nil:
+		return spokeerror.New("read events", KindNoAnswer, err)
+	case !r.handed:
+		return spokeerror.Newf("read events", KindNoAnswer, "the answer has no events")
+	default:
+		return nil
+	}
+}
+
+func (r *run) handEvent(reply *Reply, event Event, w *watch) error {
+	r.running()
+	r.events.Add(1)
+	if !r.handed {
+		r.handed = true
+		r.exchange.BeginFunc(reply, -1)
+	}
+	w.pause()
+	defer w.resume()
+	if err := r.exchange.WriteFunc(event.Text); err != nil {
+		return spokeerror.New("hand event on", KindGone, err)
+	}
+	if event.ID != "" {
+		r.lastEvent = event.ID
+	}
+	return nil
+}
+
+// EachEvent returns what passes on the events of a body in the form of
+// server-sent events, each with the blank line that ends it.
+func EachEvent(body io.Reader) func(take func(Event) error) error {
+	return func(take func(Event) error) error {
+		events := eventReader{source: body}
+		for {
+			text, err := events.next()
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			if err := take(Event{ID: eventID(text), Text: text}); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -148,12 +182,12 @@
 	return e.failed
 }
 
-// eventID returns the identity that an event carries.
-func eventID(event []byte) (string, bool) {
+// eventID returns the identity that an event carries, or none.
+func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id)), true
+			return string(bytes.TrimSpace(id))
 		}
 	}
-	return "", false
+	return ""
 }
--- /dev/null
+++ b/spokecore/attempt.go
@@ -0,0 +1,106 @@
+package spokecore
+
+import (
+	"context"
+	"errors"
+
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spoketrace"
+)
+
+// What ends an attempt before its server does.
+var (
+	errSilent  = errors.New("the backend server is silent")
+	errLeaving = errors.New("the backend server is leaving")
+	errSlow    = errors.New("the backend server has slowed down")
+)
+
+// attempt tries one server.
+func (r *run) attempt(deadline context.Context, server string) error {
+	ctx, cancel := context.WithCancelCause(deadline)
+	defer cancel(nil)
+	work, begun := r.core.Registry.Begin(server, r.request.long(), func(departure spokebackend.Departure) {
+		if r.mustMove(departure) {
+			cancel(errLeaving)
+		}
+	})
+	if !begun {
+		return spokeerror.Newf("send attempt", KindNotSent, "%s takes no new work", server)
+	}
+	work.Reads(r.unread)
+	ctx, span := spoketrace.Begin(ctx, "attempt at backend server")
+	span.Note("server", server)
+	w := r.watch(work, cancel)
+	defer w.stop()
+	err := r.exchangeWith(ctx, work, w, cancel)
+	if err != nil && isMove(context.Cause(ctx)) {
+		err = spokeerror.New("run attempt", KindMoved, context.Cause(ctx))
+	}
+	r.judge(ctx, work, err)
+	span.End(err)
+	return err
+}
+
+// isMove reports whether an attempt was ended in favour of another server.
+func isMove(cause error) bool {
+	return errors.Is(cause, errSilent) || errors.Is(cause, errLeaving) || errors.Is(cause, errSlow)
+}
+
+// exchangeWith sends the attempt and hands its answer on.
+func (r *run) exchangeWith(ctx context.Context, work *spokebackend.Work, w *watch, cancel context.CancelCauseFunc) error {
+	from := r.from
+	r.from = spokecloud.Instance{}
+	reply, err := r.exchange.SendFunc(ctx, Attempt{
+		Server: work.Instance(), From: from, Left: r.left(), Urgency: r.request.urgency(), LastEvent: r.lastEvent,
+	})
+	if err != nil {
+		if kind := spokeerror.KindOf[Kind](err); kind == KindNoAnswer || kind == KindSpoiled {
+			r.ran.Add(1)
+		}
+		return err
+	}
+	if reply.Body != nil {
+		defer func() { _ = reply.Body.Close() }()
+	}
+	if reply.Recorded {
+		work.Leave()
+		return r.handWhole(reply, work)
+	}
+	r.ran.Add(1)
+	if reply.Load != nil {
+		r.core.Registry.TakeReport(work.Instance().Name, *reply.Load)
+	}
+	if reply.EachFunc != nil && !reply.Failed {
+		return r.handEvents(reply, work, w, cancel)
+	}
+	r.running()
+	return r.handWhole(reply, work)
+}
+
+// judge ends the work with a verdict on the server.
+func (r *run) judge(ctx context.Context, work *spokebackend.Work, err error) {
+	cause, kind := context.Cause(ctx), spokeerror.KindOf[Kind](err)
+	if kind == KindMoved {
+		r.from = work.Instance()
+	}
+	switch {
+	case err == nil:
+		work.Succeed()
+		r.learnAnswer()
+		if _, affinity := r.request.shared(); affinity != 0 {
+			r.service.prefixes.Put(affinity, work.Instance().Name)
+		}
+	case errors.Is(cause, errSilent):
+		work.Fail()
+	case ctx.Err() != nil:
+		work.Leave()
+	case kind == KindNotRun:
+		work.Refused()
+	case !kind.ofAttempt():
+		work.Leave()
+	default:
+		work.Fail()
+	}
+}
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mulberryspoke.example/mulberryspoke/spokeadmit"
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
@@ -18,25 +19,44 @@
 )
 
 // Core serves the requests of one entry instance. Set its fields before the
-// first request. It is safe for concurrent use.
+// first request; those that may be nil or zero say so. It is safe for
+// concurrent use.
 type Core struct {
 	// Registry knows the backend servers.
 	Registry *spokebackend.Registry
-	// Pool enforces the workspaces' allotments.
+	// Pool enforces the workspaces' allotments, which all entry instances share.
+	// Nil enforces none.
 	Pool *spokelimit.Pool
-	// SendFunc sends an attempt and returns the head of its answer. Its errors
-	// are of the kinds KindNotSent, KindNotRun, KindNoAnswer and KindSpoiled.
-	SendFunc func(ctx context.Context, request *Request, attempt Attempt) (*Reply, error)
-	// BegunFunc is called once for each request that has begun to run.
+	// Limiter enforces this instance's part of the workspaces' rates. Nil
+	// enforces none.
+	Limiter *spokelimit.Limiter
+	// MaxWaitFunc returns how long a request may wait for room at its service.
+	// Nil sends all requests on at once.
+	MaxWaitFunc func(request *Request) spokeclock.Millis
+	// Patience is how long a request waits for a live backend server. Zero
+	// refuses it at once.
+	Patience spokeclock.Millis
+	// ResumePatience is the same for a request whose answer has begun.
+	ResumePatience spokeclock.Millis
+	// MovesLeaving moves answers away from backend servers that leave before
+	// they could end there.
+	MovesLeaving bool
+	// MovesSlow moves answers away from backend servers that have slowed down.
+	MovesSlow bool
+	// BegunFunc is called once for each request that has begun to run. It may be
+	// nil.
 	BegunFunc func(workspace string)
-	// WorkFunc counts the time that a request has kept a model engine busy.
+	// WorkFunc counts the time that a request has kept a model engine busy. It
+	// may be nil.
 	WorkFunc func(service string, work spokeclock.Millis)
-	// ReachableFunc reports whether a data centre can be reached.
+	// ReachableFunc reports whether a data centre can be reached. Nil means that
+	// all can.
 	ReachableFunc func(dataCentre string) bool
-	// MembersFunc returns the number of entry instances that share the budget
-	// for repeats, this one included.
+	// MembersFunc returns the number of entry instances that share limits and
+	// the budget for repeats, this one included. Nil means one.
 	MembersFunc func() int
 	// RetryRatio is the part of a service's requests that may be sent again.
+	// Zero leaves the budget's own ratio and reserve.
 	RetryRatio float64
 	// RetryReserve is the number of repeats that all instances may save up.
 	RetryReserve float64
@@ -47,14 +67,16 @@
 	// Log takes the log lines.
 	Log zerolog.Logger
 
-	mutex    sync.Mutex
-	services map[string]*service
-	active   atomic.Int64
+	placements placements
+	mutex      sync.Mutex
+	services   map[string]*service
+	active     atomic.Int64
 }
 
 // service is what belongs to one service.
 type service struct {
 	budget   spokeretry.Budget
+	queue    spokeadmit.Queue
 	prefixes spokeroute.Prefixes
 	answers  answerLengths
 
@@ -92,26 +114,51 @@
 	}
 	s, known := c.services[name]
 	if !known {
-		s = &service{budget: spokeretry.Budget{Ratio: c.RetryRatio * budgetMargin, ReserveFunc: c.retryReserve}}
+		s = &service{}
+		if c.RetryRatio > 0 {
+			s.budget.Ratio = c.RetryRatio * budgetMargin
+			s.budget.ReserveFunc = c.retryReserve
+		}
+		s.queue.Clock = c.Clock
+		s.queue.RoomFunc = func() spokeadmit.Room { return c.room(name) }
 		s.policy.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Choices need no secrecy.
 		c.services[name] = s
 	}
 	return s
 }
 
+// room is what a service's servers can take besides what peers send them.
+func (c *Core) room(service string) spokeadmit.Room {
+	capacity := c.Registry.Capacity(service)
+	return spokeadmit.Room{
+		All:  capacity.Slots() - capacity.Peers().All,
+		Long: capacity.LongSlots() - capacity.Peers().Long,
+	}
+}
+
+// members returns the number of entry instances, at least one.
+func (c *Core) members() int {
+	if c.MembersFunc == nil {
+		return 1
+	}
+	return max(1, c.MembersFunc())
+}
+
 // retryReserve is this instance's part of the repeats that may be saved up.
 func (c *Core) retryReserve() float64 {
-	return max(1, c.RetryReserve*budgetMargin/float64(max(1, c.MembersFunc())))
+	return max(1, c.RetryReserve*budgetMargin/float64(c.members()))
 }
 
-// routing returns the policy for a service that declares none of its own. When
-// many instances choose by late knowledge, two random servers of a plain service
-// are compared, so that they do not all take the same.
-func routing(service *spokeconfig.Service, choosers int) spokeconfig.Routing {
+// routing returns the policy for a service that declares none of its own. Where
+// the lengths of prompts are known, the time of the first token is forecast.
+// When many instances choose by late knowledge, two random servers are compared,
+// so that they do not all take the same.
+func routing(request *Request, choosers int) spokeconfig.Routing {
+	declared := request.Service.Routing
 	switch {
-	case service.Routing != "" && service.Routing != spokeconfig.RoutingScore:
-		return service.Routing
-	case service.Kind == spokeconfig.ServiceModel:
+	case declared != "" && declared != spokeconfig.RoutingScore:
+		return declared
+	case request.PromptTokens > 0 && request.Service.Kind == spokeconfig.ServiceModel:
 		return spokeconfig.RoutingForecast
 	case choosers > spokeroute.FewChoosers:
 		return spokeconfig.RoutingTwoChoices
@@ -127,24 +174,31 @@
 // cutOff reports whether a data centre seems to be out of reach: none of its
 // entry instances is heard, and none of its backend servers has just answered.
 func (c *Core) cutOff(dataCentre string) bool {
-	return !c.ReachableFunc(dataCentre) && c.Clock.Now()-c.Registry.Answered(dataCentre) > freshAnswer
+	if c.ReachableFunc == nil || c.ReachableFunc(dataCentre) {
+		return false
+	}
+	return c.Clock.Now()-c.Registry.Answered(dataCentre) > freshAnswer
 }
 
 // budgetMargin keeps the repeats below their bound, as requests that are sent
 // again by callers count as new ones at another instance only.
 const budgetMargin = 0.7
 
-// choose picks a backend server.
-func (c *Core) choose(s *service, request *Request, avoid []string) spokeroute.Decision {
+// choose picks a backend server and notes why. Held says that a long answer may
+// take its part of a server's slots only.
+func (c *Core) choose(s *service, request *Request, avoid []string, held bool) spokeroute.Decision {
 	shared, affinity := request.shared()
 	candidates := c.Registry.Candidates(request.Service.Name, s.prefixes.Get(affinity))
 	for i := range candidates {
 		candidates[i].CutOff = c.cutOff(candidates[i].DataCentre)
 	}
+	members := c.members()
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.policy.Routing = routing(request.Service, c.MembersFunc())
-	return s.policy.Choose(candidates, spokeroute.Request{
-		Avoid: avoid, Prompt: request.PromptTokens, Shared: shared, Affinity: affinity, Choosers: c.MembersFunc(),
+	s.policy.Routing = routing(request, members)
+	decision := s.policy.Choose(candidates, spokeroute.Request{
+		Long: held, Avoid: avoid, Prompt: request.PromptTokens, Shared: shared, Affinity: affinity, Choosers: members,
 	})
+	s.mutex.Unlock()
+	c.placements.put(Placement{at: c.Clock.Now(), workspace: request.workspaceName(), service: request.Service.Name, decision: decision})
+	return decision
 }
--- /dev/null
+++ b/spokecore/limit.go
@@ -0,0 +1,74 @@
+package spokecore
+
+import (
+	"context"
+	"errors"
+
+	"mulberryspoke.example/mulberryspoke/spokeadmit"
+	"mulberryspoke.example/mulberryspoke/spokelimit"
+)
+
+// limit counts the request against its workspace's limits.
+func (r *run) limit() *Refusal {
+	w := r.request.Workspace
+	if w == nil {
+		return nil
+	}
+	if r.core.Limiter != nil {
+		verdict := r.core.Limiter.Begin(w, r.request.Revision, r.core.members(), r.request.AnswerTokens)
+		if !verdict.Allowed() {
+			return r.limited(verdict)
+		}
+	}
+	if r.core.Pool == nil {
+		return nil
+	}
+	verdict := r.core.Pool.Take(w, r.request.cost())
+	if verdict.Allowed() {
+		return nil
+	}
+	if r.core.Limiter != nil {
+		r.core.Limiter.End(w.Name)
+	}
+	return r.limited(verdict)
+}
+
+func (r *run) limited(verdict spokelimit.Verdict) *Refusal {
+	r.core.Log.Info().Str("id", r.request.ID).Str("workspace", r.request.workspaceName()).Str("limit", verdict.Limit()).
+		Float64("cost", r.request.cost()).Float64("per_second", verdict.PerSecond()).
+		Float64("level", verdict.Level()).Float64("credit", verdict.Credit()).Msg("Workspace is over its limit.")
+	return &Refusal{kind: KindLimited, notRun: true, after: verdict.After(), cause: errors.New("the workspace is over its " + verdict.Limit())}
+}
+
+// endLimits gives back what the request no longer takes.
+func (r *run) endLimits(refusal *Refusal) {
+	w := r.request.Workspace
+	if w == nil {
+		return
+	}
+	if r.core.Limiter != nil {
+		r.core.Limiter.End(w.Name)
+	}
+	if r.core.Pool != nil && refusal != nil && refusal.notRun {
+		r.core.Pool.Give(w, r.request.cost())
+	}
+}
+
+// admit waits for room at the service's servers. The admission is nil while the
+// core admits all requests.
+func (r *run) admit(ctx context.Context) (*spokeadmit.Admission, *Refusal) {
+	if r.core.MaxWaitFunc == nil {
+		return nil, nil
+	}
+	ticket := spokeadmit.Ticket{
+		Workspace: r.request.workspaceName(), Weight: 1, Long: r.request.longAnswer(), MaxWait: r.core.MaxWaitFunc(r.request),
+	}
+	if w := r.request.Workspace; w != nil {
+		ticket.Weight = w.Share * w.Priority
+	}
+	admission, err := r.service.queue.Admit(ctx, ticket)
+	if err != nil {
+		return nil, &Refusal{kind: KindOverloaded, notRun: true, after: r.service.queue.ExpectedWait(ticket), cause: err}
+	}
+	return admission, nil
+}
--- a/spokeserve/journal.go
+++ b/spokecore/placement.go
@@ -1,4 +1,4 @@
-package spokeserve
+package spokecore
 
 import (
 	"sync"
@@ -7,7 +7,8 @@
 	"mulberryspoke.example/mulberryspoke/spokeroute"
 )
 
-const journalSize = 256
+// placementsKept is enough to see what led to a complaint of the last seconds.
+const placementsKept = 256
 
 // Placement is one choice of a backend server.
 type Placement struct {
@@ -29,33 +30,33 @@
 // Decision returns what was chosen and why.
 func (p Placement) Decision() spokeroute.Decision { return p.decision }
 
-// journal keeps the last choices.
-type journal struct {
+// placements keeps the last choices.
+type placements struct {
 	mutex   sync.Mutex
-	entries [journalSize]Placement
+	entries [placementsKept]Placement
 	next    int
 	full    bool
 }
 
-func (j *journal) put(p Placement) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	j.entries[j.next] = p
-	j.next = (j.next + 1) % journalSize
-	j.full = j.full || j.next == 0
+func (p *placements) put(choice Placement) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.entries[p.next] = choice
+	p.next = (p.next + 1) % placementsKept
+	p.full = p.full || p.next == 0
 }
 
 // Placements returns the last choices, the newest first.
-func (s *Server) Placements() []Placement {
-	s.journal.mutex.Lock()
-	defer s.journal.mutex.Unlock()
-	count := s.journal.next
-	if s.journal.full {
-		count = journalSize
+func (c *Core) Placements() []Placement {
+	c.placements.mutex.Lock()
+	defer c.placements.mutex.Unlock()
+	count := c.placements.next
+	if c.placements.full {
+		count = placementsKept
 	}
 	list := make([]Placement, 0, count)
 	for i := range count {
-		list = append(list, s.journal.entries[(s.journal.next-1-i+journalSize)%journalSize])
+		list = append(list, c.placements.entries[(c.placements.next-1-i+placementsKept)%placementsKept])
 	}
 	return list
 }
--- a/spokecore/refusal.go
+++ b/spokecore/refusal.go
@@ -22,6 +22,8 @@
 	// KindReplaced is a backend server's own failure in place of which another
 	// server's answer is sought.
 	KindReplaced Kind = "replaced"
+	// KindMoved is an attempt that was ended in favour of another server.
+	KindMoved Kind = "moved"
 
 	// KindLimited is a workspace over its allotment.
 	KindLimited Kind = "workspace_limit"
@@ -39,6 +41,16 @@
 	KindGone Kind = "caller_gone"
 )
 
+// ofAttempt reports whether a kind tells how an attempt at a server ended.
+func (k Kind) ofAttempt() bool {
+	switch k {
+	case KindNotSent, KindNotRun, KindNoAnswer, KindSpoiled, KindReplaced, KindMoved:
+		return true
+	default:
+		return false
+	}
+}
+
 // Refusal is the final answer to a request that gets none from a backend
 // server.
 type Refusal struct {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -1,6 +1,7 @@
 package spokecore
 
 import (
+	"context"
 	"io"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
@@ -20,29 +21,56 @@
 	Service *spokeconfig.Service
 	// Workspace is who asks. Nil means a request without a key.
 	Workspace *spokeconfig.Workspace
+	// Revision is the configuration that the three above are from.
+	Revision spokeconfig.Revision
 	// Deadline is when the caller or the route gives it up.
 	Deadline spokeclock.Millis
-	// PromptTokens and AnswerTokens are what the caller declares.
+	// PromptTokens and AnswerTokens are what the caller declares. Zero means
+	// that it does not.
 	PromptTokens int
 	AnswerTokens int
 	// Parts are the parts of the prompt, in order.
 	Parts []Part
 	// LastEvent is the event behind which a resumed stream goes on, or empty.
 	LastEvent string
+	// Silence bounds how long a backend server may be silent.
+	Silence Silence
 }
 
 // Part is a part of a prompt that other prompts may share.
 type Part struct {
 	// Key identifies the part's content.
 	Key string
-	// Tokens is its length.
+	// Tokens is its length. Zero means that it is not known.
 	Tokens int
 }
 
+// Silence tells when a silent backend server has failed. What is zero follows
+// from the targets of the route; without those, servers are not watched.
+type Silence struct {
+	// First is the longest silence before the answer begins.
+	First spokeclock.Millis
+	// Gap is the longest silence between two events.
+	Gap spokeclock.Millis
+	// Notice is the silence between two events from which the server counts as
+	// slowed down. Zero means that only a failed one does.
+	Notice spokeclock.Millis
+}
+
 // longPrompt is the prompt length from which a request counts as long beside
 // others: its reading delays their tokens.
 const longPrompt = 4096
 
+// long reports whether the request holds others up.
+func (r *Request) long() bool {
+	return r.PromptTokens >= longPrompt || r.longAnswer()
+}
+
+// longAnswer reports whether a long answer is expected.
+func (r *Request) longAnswer() bool {
+	return r.AnswerTokens > 0 && r.AnswerTokens >= r.Service.LongAnswerTokens
+}
+
 // shared returns the length and the key of the beginning that the prompt shares
 // with others. The last part is the request's own.
 func (r *Request) shared() (tokens int, key uint64) {
@@ -104,6 +132,9 @@
 type Attempt struct {
 	// Server is where it goes.
 	Server spokecloud.Instance
+	// From is the server that the answer was moved away from, and which still
+	// holds its KV cache. Its name is empty when there is none.
+	From spokecloud.Instance
 	// Left is the time until its deadline.
 	Left spokeclock.Millis
 	// Urgency orders it within an engine, 0 first.
@@ -116,19 +147,39 @@
 type Reply struct {
 	// Failed says that the server reports a failure of its own.
 	Failed bool
-	// Events says that the body is a series of events.
-	Events bool
+	// Recorded says that the answer was made before and that the server had no
+	// part in it.
+	Recorded bool
 	// Head is what the front wants to hand on. The core passes it through.
 	Head any
-	// Body is the body. A body that ends early returns an error.
+	// EachFunc passes on the events of a series as they come. It returns nil at
+	// the end of a whole one, and the error of take when that fails. Nil means
+	// that the answer is no series of events.
+	EachFunc func(take func(Event) error) error
+	// Body is the body of an answer that is no series. A body that ends early
+	// returns an error.
 	Body io.ReadCloser
 	// Load is the server's load as the answer tells it, or nil.
 	Load *spokeengine.Load
 }
 
+// Event is one whole event of an answer.
+type Event struct {
+	// ID is the identity behind which the answer may go on. It is empty when the
+	// event has none.
+	ID string
+	// Text is what is handed on.
+	Text []byte
+}
+
 // Exchange is the front's side of one request. Its functions are called from
 // one goroutine.
 type Exchange struct {
+	// SendFunc sends an attempt and returns the head of its answer. Errors of
+	// the kinds KindNotSent, KindNotRun, KindNoAnswer and KindSpoiled let the
+	// core go on as the request allows. One of any other kind, after which
+	// nothing was sent, ends the request with that kind.
+	SendFunc func(ctx context.Context, attempt Attempt) (*Reply, error)
 	// BeginFunc hands on the head of the answer, before any of its body. Length
 	// is the length of the whole body, or -1 while it is not known.
 	BeginFunc func(reply *Reply, length int64)
--- a/spokecore/watch.go
+++ b/spokecore/watch.go
@@ -17,53 +17,85 @@
 	gapFactor = 2
 	// leastSilence keeps short targets from taking every pause for a failure.
 	leastSilence = 300 * spokeclock.Millis(1)
+	// turnFactor is how many times the first silence a request may wait its turn
+	// while every other server is full too.
+	turnFactor = 4
+	// leastCheck bounds the work of looking at silent servers.
+	leastCheck = 10 * spokeclock.Millis(1)
 )
 
-// watch notices when a server is silent for too long. It ends the attempt only
-// if the request may be repeated.
+// watch notices when a server is silent for too long, before any report of the
+// server could say so. It ends the attempt only if another server may run the
+// request, and within the budget for repeats.
 type watch struct {
-	work   *spokebackend.Work
-	cancel context.CancelCauseFunc
-	mayEnd func() bool
-	gap    spokeclock.Millis
+	clock   *spokeclock.Clock
+	work    *spokebackend.Work
+	cancel  context.CancelCauseFunc
+	mayMove func() bool
+	better  func() bool
+	silence Silence
 
-	mutex sync.Mutex
-	timer *time.Timer
-	ended bool
+	mutex  sync.Mutex
+	timer  *time.Timer
+	last   spokeclock.Millis
+	first  bool
+	paused bool
+	ended  bool
 }
 
 // watch begins to watch an attempt. Requests without a target are not watched.
 func (r *run) watch(work *spokebackend.Work, cancel context.CancelCauseFunc) *watch {
-	route := r.request.Route
 	w := &watch{
-		work: work, cancel: cancel,
-		mayEnd: func() bool {
-			return r.request.repeatable() && r.ran < r.request.maxAttempts()
-		},
-		gap: max(leastSilence, gapFactor*route.GapTarget),
+		clock: r.core.Clock, work: work, cancel: cancel, last: r.core.Clock.Now(), first: true, silence: r.silence(),
+		mayMove: func() bool { return r.mayRunAgain() && r.service.budget.Allow() },
+		better:  func() bool { return r.hasBetterPlace(work.Instance().Name) },
 	}
-	if route.LatencyTarget > 0 {
-		w.timer = time.AfterFunc(max(leastSilence, lateFactor*route.LatencyTarget).Duration(), w.lapse)
+	if w.silence.First == 0 {
+		w.ended = true
+		return w
 	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.timer = time.AfterFunc(w.silence.First.Duration(), w.check)
 	return w
 }
 
-// fed notes an event.
-func (w *watch) fed() {
+// silence returns the request's bounds, or those that follow from its route.
+func (r *run) silence() Silence {
+	s, route := r.request.Silence, r.request.Route
+	if s.First == 0 && route.LatencyTarget > 0 {
+		s.First = max(leastSilence, lateFactor*route.LatencyTarget)
+	}
+	if s.Gap == 0 {
+		s.Gap = max(leastSilence, gapFactor*route.GapTarget)
+	}
+	return s
+}
+
+// event notes an event.
+func (w *watch) event() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.timer != nil && !w.ended {
-		w.timer.Reset(w.gap.Duration())
+	w.last = w.clock.Now()
+	if w.first && !w.ended {
+		w.timer.Reset(w.untilCheck(0).Duration())
 	}
+	w.first = false
 }
 
 // pause stops the count while the caller is the slow one.
 func (w *watch) pause() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.paused = true
+}
+
+// resume starts the count again.
+func (w *watch) resume() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.paused = false
+	w.last = w.clock.Now()
 }
 
 func (w *watch) stop() {
@@ -75,15 +107,52 @@
 	}
 }
 
-func (w *watch) lapse() {
+// check notes a silent server, and gives the attempt up when it is silent for
+// too long.
+func (w *watch) check() {
 	w.mutex.Lock()
-	ended := w.ended
-	w.mutex.Unlock()
-	if ended {
+	defer w.mutex.Unlock()
+	if w.ended {
 		return
 	}
-	w.work.Stalled()
-	if w.mayEnd() {
-		w.cancel(errSilent)
+	silence := w.clock.Now() - w.last
+	if w.paused {
+		silence = 0
+	}
+	if !w.first && w.silence.Notice > 0 && silence >= w.silence.Notice {
+		w.work.Stalled()
+	}
+	if silence >= w.limit() && !w.waitsItsTurn(silence) {
+		w.work.Stalled()
+		if w.mayMove() {
+			w.cancel(errSilent)
+			return
+		}
+	}
+	w.timer.Reset(w.untilCheck(silence).Duration())
+}
+
+func (w *watch) limit() spokeclock.Millis {
+	if w.first {
+		return w.silence.First
+	}
+	return w.silence.Gap
+}
+
+// waitsItsTurn reports whether a request without an answer may just be queued.
+// Where every other server is full too, a move would only lose its turn.
+func (w *watch) waitsItsTurn(silence spokeclock.Millis) bool {
+	return w.first && silence < turnFactor*w.silence.First && !w.better()
+}
+
+// untilCheck returns the time until the next look, after a silence.
+func (w *watch) untilCheck(silence spokeclock.Millis) spokeclock.Millis {
+	limit := w.limit()
+	if !w.first && w.silence.Notice > 0 {
+		limit = min(limit, w.silence.Notice)
+	}
+	if silence < limit {
+		return max(leastCheck, limit-silence)
 	}
+	return limit
 }
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -17,10 +17,12 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokefleet"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokelease"
+	"mulberryspoke.example/mulberryspoke/spokelimit"
 	"mulberryspoke.example/mulberryspoke/spokelog"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 	"mulberryspoke.example/mulberryspoke/spokeobject"
@@ -38,6 +40,12 @@
 	settleTimeout = 5 * spokeclock.Second
 	// orderDelivery is the longest time an order takes to reach an engine.
 	orderDelivery = 2 * spokeclock.Second
+	// pickPatience is how long a request waits for a live backend server; a
+	// restarted one is listed again by then.
+	pickPatience = 3 * spokeclock.Second
+	// resumePatience is the same for an answer that has begun. It outlasts the
+	// start of an instance in place of the last one.
+	resumePatience = 15 * spokeclock.Second
 )
 
 // Entry is one entry instance. Set its fields before Run.
@@ -56,6 +64,7 @@
 	claims   *spokeclaim.Claims
 	node     *spokepeer.Node
 	watch    *spokewatch.Watch
+	core     *spokecore.Core
 	server   *spokeserve.Server
 	commands *spokeoperate.Commands
 	queries  *spokeoperate.Queries
@@ -196,8 +205,9 @@
 }
 
 func (e *Entry) buildServers(client *http.Client) {
+	e.core = e.newCore()
 	e.server = &spokeserve.Server{
-		Store: e.store, Registry: e.registry, View: e.view, Claims: e.claims,
+		Core: e.core, Store: e.store, Claims: e.claims,
 		AttemptStateFunc: e.node.AttemptState, ConfirmedFunc: e.node.Confirmed,
 		Client: client, SingleClient: spokehttp.NewSingleClient(),
 		MaxBody: e.Settings.MaxBody, Counters: spokeserve.NewCounters(e.metrics),
@@ -205,11 +215,27 @@
 	}
 	gate := spokeoperate.Gate{KeySHA256: e.Settings.OperatorKey}
 	e.commands = &spokeoperate.Commands{Gate: gate, Keeper: e.keeper, View: e.view, ChangedFunc: e.node.Wake}
-	e.queries = &spokeoperate.Queries{Gate: gate, Store: e.store, View: e.view, Registry: e.registry, Server: e.server, Leases: []*spokelease.Lease{e.prune, e.fleet.Lease}}
+	e.queries = &spokeoperate.Queries{Gate: gate, Store: e.store, View: e.view, Registry: e.registry, Core: e.core, Leases: []*spokelease.Lease{e.prune, e.fleet.Lease}}
 	e.callers = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
 	e.ops = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
 }
 
+// newCore returns the core, without the mechanisms that are switched off.
+func (e *Entry) newCore() *spokecore.Core {
+	core := &spokecore.Core{
+		Registry: e.registry, Limiter: &spokelimit.Limiter{}, MembersFunc: e.view.Sharers,
+		Patience: pickPatience, ResumePatience: resumePatience,
+		MovesLeaving: !e.switchedOff("move"), MovesSlow: !e.switchedOff("slow_move"),
+		Counters: spokecore.NewCounters(e.metrics), Log: e.Logs.Part("serve"),
+	}
+	if !e.switchedOff("admission") {
+		core.MaxWaitFunc = spokeserve.MaxWait
+	}
+	return core
+}
+
+func (e *Entry) switchedOff(name string) bool { return slices.Contains(e.Settings.SwitchOff, name) }
+
 func (e *Entry) identity() spokemember.Identity {
 	address := e.Settings.PeerAdvertise
 	if address == "" {
@@ -224,10 +250,9 @@
 }
 
 func (e *Entry) switches() spokeserve.Switches {
-	off := func(name string) bool { return slices.Contains(e.Settings.SwitchOff, name) }
 	return spokeserve.Switches{
-		NoResume: off("resume"), NoClaims: off("claims"), NoMove: off("move"),
-		NoCacheMove: off("cache_move"), NoPriority: off("priority"), NoAdmission: off("admission"), NoSlowMove: off("slow_move"),
+		NoResume: e.switchedOff("resume"), NoClaims: e.switchedOff("claims"),
+		NoCacheMove: e.switchedOff("cache_move"), NoPriority: e.switchedOff("priority"),
 	}
 }
 
--- a/spokeentry/shutdown.go
+++ b/spokeentry/shutdown.go
@@ -18,7 +18,7 @@
 	settle, cancel := context.WithTimeout(context.Background(), settleTimeout.Duration())
 	defer cancel()
 	if err := e.claims.Settled(settle); err != nil {
-		e.log.Warn().Msg("Claims were left unsettled.")
+		e.log.Warn().Err(err).Msg("Claims were left unsettled.")
 	}
 	if left > 0 {
 		e.log.Warn().Int64("left", left).Msg("Requests were cut off.")
--- a/spokeoperate/query.go
+++ b/spokeoperate/query.go
@@ -12,9 +12,9 @@
 	"mulberryspoke.example/mulberryspoke/gen/query"
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokelease"
 	"mulberryspoke.example/mulberryspoke/spokemember"
-	"mulberryspoke.example/mulberryspoke/spokeserve"
 )
 
 var (
@@ -32,8 +32,8 @@
 	View *spokemember.View
 	// Registry knows the backend servers.
 	Registry *spokebackend.Registry
-	// Server knows the last placements.
-	Server *spokeserve.Server
+	// Core knows the last placements.
+	Core *spokecore.Core
 	// Leases are the duties that this instance may hold.
 	Leases []*spokelease.Lease
 }
@@ -250,7 +250,7 @@
 
 func (q *Queries) placements() *query.Table {
 	table := &query.Table{Columns: []string{"at_millis", "workspace", "service", "server", "why", "cost"}}
-	for _, placement := range q.Server.Placements() {
+	for _, placement := range q.Core.Placements() {
 		decision := placement.Decision()
 		add(table, strconv.FormatInt(int64(placement.At()), 10), placement.Workspace(), placement.Service(),
 			decision.Server(), string(decision.Reason()), strconv.FormatFloat(decision.Cost(), 'f', 3, 64))
--- a/spokeserve/chat.go
+++ b/spokeserve/chat.go
@@ -13,12 +13,24 @@
 	"mulberryspoke.example/mulberryspoke/gen/types"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
-	"mulberryspoke.example/mulberryspoke/spokeroute"
-	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
 const (
+	// modelAttempts bounds the servers that may run parts of one answer: several
+	// waves of reclaims within the timeout.
+	modelAttempts = 12
+
+	// A server is silent for too long after so many of the service's targets, but
+	// not before a usual pause of its process or network.
+	firstFactor   = 2
+	firstMinimum  = 3 * spokeclock.Second
+	gapFactor     = 10
+	gapMinimum    = spokeclock.Second
+	noticeFactor  = 3
+	noticeMinimum = 50 * spokeclock.Millis(1)
+
 	defaultMaxTokens = 128
 	largestMaxTokens = 32768
 	contentJSON      = "application/json"
@@ -49,7 +61,6 @@
 	result, answer, refused := s.complete(ctx, payload, request, done)
 	if refused != nil {
 		done()
-		s.countRefused(request.Model, refused)
 		return nil, nil, refused
 	}
 	return result, answer, nil
@@ -97,75 +108,77 @@
 	return nil
 }
 
-// complete checks and admits a request and starts its answer. The answer's end
-// calls done.
+// complete checks a request and starts its answer. The answer's end calls done.
 func (s *Server) complete(ctx context.Context, payload *chat.CompletePayload, request chatRequest, done func()) (*chat.CompleteResult, io.ReadCloser, *types.Refusal) {
-	v, refused := s.check(payload.Authorization, request.Model, spokeconfig.ServiceModel)
-	if refused != nil {
-		return nil, nil, refused
-	}
-	if refused := s.limit(v, request.MaxTokens); refused != nil {
-		return nil, nil, refused
-	}
-	long := request.MaxTokens >= v.service.LongAnswerTokens
-	ctx, span := spoketrace.Begin(ctx, "entry chat")
-	started := s.Clock.Now()
-	admission, refused := s.admit(ctx, v, long)
+	a, refused := s.check(payload.Authorization, request.Model, spokeconfig.ServiceModel)
 	if refused != nil {
-		s.limiter.End(v.workspace.Name)
-		span.End(refused)
+		s.countRefused(request.Model, refused)
 		return nil, nil, refused
 	}
-	g := s.newGeneration(v, request, long, started)
-	g.end = func(err error) {
-		admission.Release()
-		s.limiter.End(v.workspace.Name)
-		span.End(err)
-		done()
-	}
-	g.start(ctx)
+	g := s.newGeneration(a, request)
+	g.start(ctx, done)
 	return s.deliver(g, request)
 }
 
-func (s *Server) newGeneration(v visitor, request chatRequest, long bool, started spokeclock.Millis) *generation {
-	g := &generation{
-		server:  s,
-		visitor: v,
-		long:    long,
-		started: started,
-		prefix:  prefixOf(v.service.Name, request.Messages),
+func (s *Server) newGeneration(a access, request chatRequest) *generation {
+	id := newAttempt()
+	asked := a.request(id, s.modelRoute(a.service), s.Clock.Now()+a.service.Timeout)
+	asked.AnswerTokens = request.MaxTokens
+	asked.Parts = partsOf(request.Messages)
+	asked.Silence = silenceOf(a.service)
+	return &generation{
+		server: s, identity: id, asked: asked,
 		request: spokeengine.GenerateRequest{
 			Model:     request.Model,
 			Messages:  request.Messages,
 			MaxTokens: request.MaxTokens,
-			Priority:  s.priority(v, long),
+			Priority:  s.priority(a, request.MaxTokens >= a.service.LongAnswerTokens),
 		},
 		tokens: make(chan string, tokenRing),
 	}
-	return g
+}
+
+// modelRoute is how all requests to a model service are served: what has been
+// handed on stays, and the rest may come from another server.
+func (s *Server) modelRoute(service *spokeconfig.Service) *spokeconfig.CallerRoute {
+	return &spokeconfig.CallerRoute{
+		Name: service.Name, Kind: spokeconfig.RouteStream, Resumable: !s.Switches.NoResume,
+		LatencyTarget: service.FirstTokenTarget, GapTarget: service.TokenGapTarget, MaxAttempts: modelAttempts,
+	}
+}
+
+// silenceOf is more patient than a route's targets would be, as an engine with
+// many answers under way pauses.
+func silenceOf(service *spokeconfig.Service) spokecore.Silence {
+	return spokecore.Silence{
+		First:  max(firstMinimum, firstFactor*service.FirstTokenTarget),
+		Gap:    max(gapMinimum, gapFactor*service.TokenGapTarget),
+		Notice: max(noticeMinimum, noticeFactor*service.TokenGapTarget),
+	}
 }
 
 // priority orders requests within an engine: quick ones before long ones, then
 // by workspace.
-func (s *Server) priority(v visitor, long bool) int {
+func (s *Server) priority(a access, long bool) int {
 	if s.Switches.NoPriority {
 		return 0
 	}
 	if long {
-		return longPriority*maxWorkspacePriority + v.workspace.Priority
+		return longPriority*maxWorkspacePriority + a.workspace.Priority
 	}
-	return quickPriority*maxWorkspacePriority + v.workspace.Priority
+	return quickPriority*maxWorkspacePriority + a.workspace.Priority
 }
 
 const maxWorkspacePriority = 10
 
-// prefixOf hashes all turns but the last.
-func prefixOf(service string, messages []spokeengine.Message) uint64 {
-	parts := []string{service}
-	for _, message := range messages[:len(messages)-1] {
-		parts = append(parts, message.Role, message.Content)
+// partsOf returns the turns of a chat, all but the last of which a next request
+// may share.
+func partsOf(messages []spokeengine.Message) []spokecore.Part {
+	parts := make([]spokecore.Part, 0, len(messages))
+	for _, message := range messages {
+		parts = append(parts, spokecore.Part{Key: message.Role + "\n" + message.Content})
 	}
-	return spokeroute.Hash(parts...)
+	return parts
 }
 
 // deliver hands the answer over as the caller asked for it: whole, or as
--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -3,77 +3,92 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"slices"
 	"sync"
-	"sync/atomic"
 
 	"mulberryspoke.example/mulberryspoke/gen/types"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
 
 const (
-	tokenRing      = 64
-	pickPause      = 20 * spokeclock.Millis(1)
-	pickPatience   = 3 * spokeclock.Second
-	resumePatience = 15 * spokeclock.Second
-	importTimeout  = 700 * spokeclock.Millis(1)
-	finishMargin   = 300 * spokeclock.Millis(1)
-	defaultGap     = 61 * spokeclock.Millis(1)
-	maxAttempts    = 12
+	// tokenRing is how many tokens a caller may be behind its backend server.
+	tokenRing = 64
+	// importTimeout bounds the move of a KV cache. Above it, computing a usual
+	// prompt again is faster.
+	importTimeout = 700 * spokeclock.Millis(1)
 )
 
-var (
-	errLeaving = errors.New("the backend server is leaving")
-	errStalled = errors.New("the backend server has stalled")
-	errSlow    = errors.New("the backend server has slowed down")
-)
-
-// generation is one answer under way. A goroutine of its own drives it over as
-// many attempts as it takes and puts its tokens into a bounded ring.
+// generation is one answer of a model under way. The core drives it from a
+// goroutine of its own, which puts the tokens into a bounded ring.
 type generation struct {
 	server   *Server
-	visitor  visitor
-	long     bool
-	started  spokeclock.Millis
-	prefix   uint64
+	identity string
+	asked    *spokecore.Request
 	request  spokeengine.GenerateRequest
 	tokens   chan string
-	end      func(error)
 	giveUp   context.CancelFunc
-	identity string
 	finish   string
 
 	delivered []string
-	count     atomic.Int64
-	firstAt   atomic.Int64
-	avoid     []string
-	source    *cacheSource
+	last      sentAttempt
 
 	mutex   sync.Mutex
 	refusal *types.Refusal
 }
 
-// start begins the answer. It goes on until it ends or ctx does.
-func (g *generation) start(ctx context.Context) {
-	g.identity = newAttempt()
-	ctx, g.giveUp = context.WithTimeout(ctx, g.visitor.service.Timeout.Duration())
-	go g.run(ctx)
+// sentAttempt is what is kept of an attempt, to find its KV cache.
+type sentAttempt struct {
+	id        string
+	movedFrom string
+	delivered int
+}
+
+// cache returns the attempt under which a server holds the KV cache after this
+// one, when so many tokens have been delivered. An attempt that brought none has
+// computed nothing, but the server may hold the cache that was imported for it.
+func (a sentAttempt) cache(delivered int) string {
+	if delivered == a.delivered && a.movedFrom != "" {
+		return a.movedFrom
+	}
+	return a.id
+}
+
+// start begins the answer. It goes on until it ends or ctx does, and then calls
+// done.
+func (g *generation) start(ctx context.Context, done func()) {
+	ctx, g.giveUp = context.WithCancel(ctx)
+	go func() {
+		defer done()
+		defer g.giveUp()
+		g.run(ctx)
+	}()
 }
 
 func (g *generation) run(ctx context.Context) {
-	defer g.giveUp()
-	refused := g.attempts(ctx)
+	err := g.server.Core.Serve(ctx, g.asked, spokecore.Exchange{
+		SendFunc:  g.send,
+		BeginFunc: func(*spokecore.Reply, int64) {},
+		WriteFunc: func(token []byte) error { return g.take(ctx, string(token)) },
+	})
 	g.mutex.Lock()
-	g.refusal = refused
+	g.refusal = g.refusalOf(err)
 	g.mutex.Unlock()
 	close(g.tokens)
-	if refused == nil {
-		g.server.Counters.answered(g.visitor.service.Name)
-		g.end(nil)
-	} else {
-		g.end(refused)
+}
+
+// take passes a token on.
+func (g *generation) take(ctx context.Context, token string) error {
+	select {
+	case g.tokens <- token:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
+	g.delivered = append(g.delivered, token)
+	g.server.Counters.tokens.Inc()
+	return nil
 }
 
 // refused returns why the answer broke off, or nil.
@@ -101,49 +116,74 @@
 	return content, g.refused()
 }
 
-// attempts tries backend servers until the answer is whole. What has been
-// delivered is never delivered again.
-func (g *generation) attempts(ctx context.Context) *types.Refusal {
-	budget := &g.server.desk(g.visitor.service).budget
-	budget.Request()
-	for range maxAttempts {
-		target, refused := g.pick(ctx)
-		if refused != nil {
-			return refused
-		}
-		switch g.attempt(ctx, target) {
-		case verdictWhole:
-			return nil
-		case verdictGone:
-			return g.outOfTime(ctx)
-		case verdictLeft, verdictNotBegun:
-		case verdictStalled, verdictSlow:
-			g.avoid = append(g.avoid, target)
-		case verdictFailed:
-			g.avoid = append(g.avoid, target)
-			if !budget.Allow() {
-				return g.broken(KindServerFailed, "a backend server failed and the retry budget is spent")
-			}
-		}
-		if g.server.Switches.NoResume && len(g.delivered) > 0 {
-			return g.broken(KindServerFailed, "a backend server failed")
-		}
+// send asks a server for the rest of the answer.
+func (g *generation) send(ctx context.Context, attempt spokecore.Attempt) (*spokecore.Reply, error) {
+	request := g.request
+	request.Attempt = newAttempt()
+	request.Resume = slices.Clone(g.delivered)
+	request.MovedFrom = g.moveCache(ctx, attempt)
+	g.last = sentAttempt{id: request.Attempt, movedFrom: request.MovedFrom, delivered: len(g.delivered)}
+	engine := spokeengine.Engine{URL: "http://" + attempt.Server.Address, Client: g.server.Client}
+	stream, err := engine.Generate(ctx, request)
+	if err != nil {
+		return nil, spokeerror.New("generate", spokecore.KindNoAnswer, err)
+	}
+	return &spokecore.Reply{EachFunc: func(take func(spokecore.Event) error) error {
+		defer func() { g.server.Counters.foreign.Add(stream.Foreign()) }()
+		return stream.Read(func(event spokeengine.Event) error { return g.read(event, request, take) })
+	}}, nil
+}
+
+// read passes on what an event brings.
+func (g *generation) read(event spokeengine.Event, request spokeengine.GenerateRequest, take func(spokecore.Event) error) error {
+	if event.Computed > 0 && len(request.Resume) > 0 {
+		g.server.Counters.recomputed.Add(event.Computed)
+		g.server.Log.Info().Str("id", g.identity).Int("tokens", event.Computed).Str("moved_from", request.MovedFrom).Msg("Tokens were computed again.")
+	}
+	if event.Finish != "" {
+		g.finish = event.Finish
+		return nil
+	}
+	return take(spokecore.Event{Text: []byte(event.Token)})
+}
+
+// moveCache brings the KV cache of the interrupted attempt over. It returns
+// that attempt, or "" when the rest has to be computed again.
+func (g *generation) moveCache(ctx context.Context, attempt spokecore.Attempt) string {
+	from := attempt.From
+	if from.Name == "" || from.Address == attempt.Server.Address || g.server.Switches.NoCacheMove {
+		return ""
 	}
-	return g.broken(KindServerFailed, fmt.Sprintf("%d attempts failed", maxAttempts))
+	ctx, cancel := context.WithTimeout(ctx, importTimeout.Duration())
+	defer cancel()
+	source := g.last.cache(len(g.delivered))
+	engine := spokeengine.Engine{URL: "http://" + attempt.Server.Address, Client: g.server.Client}
+	if err := engine.Import(ctx, spokeengine.MoveRequest{Attempt: source, Source: "http://" + from.Address}); err != nil {
+		g.server.Log.Info().Err(err).Str("id", g.identity).Msg("KV cache could not be moved.")
+		return ""
+	}
+	g.server.Counters.moved.Inc()
+	return source
 }
 
-// broken returns the answer to a request that cannot be completed. An answer
-// of a model has no effect but its tokens, so that without any it did not run.
-func (g *generation) broken(kind Kind, message string) *types.Refusal {
-	if len(g.delivered) == 0 {
-		return refuse(kind, retrySoon, message)
+// refusalOf returns the answer to a request that the core could not complete. A
+// model's answer has no effect but its tokens, so that without any it has not
+// run.
+func (g *generation) refusalOf(err error) *types.Refusal {
+	var refusal *spokecore.Refusal
+	if !errors.As(err, &refusal) {
+		return nil
+	}
+	kind, message := g.kindOf(refusal)
+	if len(g.delivered) > 0 {
+		return incomplete(kind, message)
 	}
-	return refusal(kind, OutcomeIncomplete, scopeRequest, retrySoon, message)
+	return refuse(kind, max(retrySoon, refusal.After()), message)
 }
 
-func (g *generation) outOfTime(ctx context.Context) *types.Refusal {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return g.broken(KindTimeout, "the caller went away")
+func (g *generation) kindOf(refusal *spokecore.Refusal) (Kind, string) {
+	if g.server.Clock.Now() >= g.asked.Deadline {
+		return KindTimeout, "the service's timeout has run out"
 	}
-	return g.broken(KindTimeout, fmt.Sprintf("the service's timeout of %d ms has run out", g.visitor.service.Timeout))
+	return describe(refusal)
 }
--- a/spokeserve/once.go
+++ b/spokeserve/once.go
@@ -4,9 +4,9 @@
 	"context"
 
 	"mulberryspoke.example/mulberryspoke/gen/types"
-	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclaim"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokeplain"
 )
@@ -14,7 +14,6 @@
 const (
 	// sendWithin is how long after its claim an attempt may still be sent.
 	sendWithin    = 3 * spokeclock.Second
-	moveLimit     = 3
 	sealPause     = 100 * spokeclock.Millis(1)
 	sealPatience  = 5 * spokeclock.Second
 	sealTimeout   = spokeclock.Second
@@ -23,35 +22,59 @@
 	unknownReason = "the request may have run; a repeat with the same key does not run it again"
 )
 
-// once runs a request that is not idempotent at most once: it claims the key,
-// sends one attempt, and records its outcome.
-func (c *call) once(ctx context.Context) (spokeplain.Answer, *types.Refusal) {
-	row, err := spokeclaim.RowKey(c.visitor.workspace.Name, c.key, c.visitor.workspace.OpaqueKeys, spokeclock.Wall())
+// claimState is what a call knows of the claim of its key.
+type claimState struct {
+	key string
+	// held is the claim while the request may still be sent under it.
+	held *spokeclaim.Claim
+	at   spokeclock.Millis
+	// made says that the claim was made, or another one found in its place.
+	made bool
+	// refused is the final answer, once there is one.
+	refused *types.Refusal
+}
+
+// sendClaimed sends a request that may run at most once: it claims the key,
+// sends one attempt, and records its outcome. While the attempt is certain not
+// to have been sent, the core may have it sent to another server.
+func (c *call) sendClaimed(ctx context.Context, attempt spokecore.Attempt) (*spokecore.Reply, error) {
+	if c.claim.held != nil {
+		return c.sendMoved(ctx, attempt)
+	}
+	row, err := spokeclaim.RowKey(c.access.workspace.Name, c.claim.key, c.access.workspace.OpaqueKeys, spokeclock.Wall())
 	if err != nil {
-		return spokeplain.Answer{}, refuseKey(err)
+		return nil, c.refuse(refuseKey(err))
 	}
-	work, refused := c.reserve(ctx)
-	if refused != nil {
-		return spokeplain.Answer{}, refuseAttempt(KindNoServer, retrySoon, "no backend server is live")
-	}
-	claimed := c.server.Clock.Now()
-	outcome, err := c.server.Claims.Make(ctx, row, c.record(work))
+	c.claim.at = c.server.Clock.Now()
+	outcome, err := c.server.Claims.Make(ctx, row, c.record(attempt))
 	if err != nil {
-		work.Leave()
-		return spokeplain.Answer{}, refuseClaim(err)
+		return nil, c.refuse(refuseClaim(err))
 	}
+	c.claim.made = true
 	if outcome.Own() == nil {
-		work.Leave()
-		return c.other(ctx, outcome.Other())
+		return c.sendOther(ctx, outcome.Other(), attempt)
 	}
-	return c.own(ctx, outcome.Own(), work, claimed)
+	return c.sendHeld(ctx, outcome.Own(), attempt)
+}
+
+// refuse notes the final answer to a request of which nothing was sent now, and
+// returns the error that makes the core end it.
+func (c *call) refuse(refused *types.Refusal) error {
+	c.claim.refused = refused
+	return spokeerror.New("claim request", spokecore.Kind(refused.Detail.Type), refused)
+}
+
+// refuseUnsure is the same for a request that may have run.
+func (c *call) refuseUnsure(kind Kind, after spokeclock.Millis, message string) error {
+	c.claim.refused = unsure(kind, after, message)
+	return spokeerror.New("claim request", spokecore.KindNoAnswer, c.claim.refused)
 }
 
-func (c *call) record(work *spokebackend.Work) spokeclaim.Record {
+func (c *call) record(attempt spokecore.Attempt) spokeclaim.Record {
 	return spokeclaim.Record{
 		Attempt: newAttempt(),
-		Server:  work.Instance().Name,
-		Request: spokeclaim.HashRequest(c.request.Method, c.visitor.service.Name+c.request.Path, c.request.Body),
+		Server:  attempt.Server.Name,
+		Request: spokeclaim.HashRequest(c.request.Method, c.access.service.Name+c.request.Path, c.request.Body),
 	}
 }
 
@@ -70,69 +93,70 @@
 	return refuseAttempt(KindClaims, retrySoon, "the table service takes no claims now, so nothing was sent")
 }
 
-// own sends the attempt that holds the claim. While it is certain not to have
-// been sent, it may move to another server.
-func (c *call) own(ctx context.Context, claim *spokeclaim.Claim, work *spokebackend.Work, claimed spokeclock.Millis) (spokeplain.Answer, *types.Refusal) {
-	for range moveLimit {
-		if c.server.Clock.Now()-claimed > sendWithin {
-			work.Leave()
-			claim.Release()
-			return spokeplain.Answer{}, refuse(KindTimeout, retrySoon, "the claim had grown too old to be sent")
-		}
-		answer, err := c.send(ctx, work, claim.Record().Attempt, c.server.SingleClient)
-		kind := spokeerror.KindOf[spokeplain.Kind](err)
-		if err == nil {
-			claim.Finish(ctx, answer)
-			return answer, nil
-		}
-		if kind == spokeplain.KindSealed {
-			claim.Abandon()
-			return spokeplain.Answer{}, unsure(KindOutcomeUnknown, retrySoon, "another attempt has taken over; repeat with the same key")
-		}
-		if kind != spokeplain.KindNotSent {
-			return c.uncertain(ctx, claim)
-		}
-		c.avoid = append(c.avoid, work.Instance().Name)
-		next, refused := c.reserve(ctx)
-		if refused != nil {
-			claim.Release()
-			return spokeplain.Answer{}, refused
-		}
-		if err := claim.Move(ctx, newAttempt(), next.Instance().Name); err != nil {
-			next.Leave()
-			claim.Release()
-			return spokeplain.Answer{}, refuse(KindClaims, retrySoon, "no backend server was reached, and nothing was sent")
-		}
-		work = next
+// sendMoved sends the attempt to another server, as nothing was sent so far.
+func (c *call) sendMoved(ctx context.Context, attempt spokecore.Attempt) (*spokecore.Reply, error) {
+	if err := c.claim.held.Move(ctx, newAttempt(), attempt.Server.Name); err != nil {
+		return nil, c.refuse(refuse(KindClaims, retrySoon, "no backend server was reached, and nothing was sent"))
+	}
+	return c.sendHeld(ctx, c.claim.held, attempt)
+}
+
+// sendHeld sends the attempt that holds the claim.
+func (c *call) sendHeld(ctx context.Context, claim *spokeclaim.Claim, attempt spokecore.Attempt) (*spokecore.Reply, error) {
+	c.claim.held = claim
+	if c.server.Clock.Now()-c.claim.at > sendWithin {
+		return nil, c.refuse(refuse(KindTimeout, retrySoon, "the claim had grown too old to be sent"))
+	}
+	answer, err := c.send(ctx, attempt, claim.Record().Attempt, c.server.SingleClient)
+	switch {
+	case err == nil:
+		c.claim.held = nil
+		claim.Finish(ctx, answer)
+		return replyOf(answer), nil
+	case spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindNotSent:
+		return nil, spokeerror.New("send attempt", spokecore.KindNotSent, err)
+	case spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindSealed:
+		c.claim.held = nil
+		claim.Abandon()
+		return nil, c.refuseUnsure(KindOutcomeUnknown, retrySoon, "another attempt has taken over; repeat with the same key")
+	default:
+		c.claim.held = nil
+		return c.uncertain(ctx, claim)
+	}
+}
+
+// releaseUnsent gives the claim back when the core has ended a request that was
+// not sent.
+func (c *call) releaseUnsent() {
+	if c.claim.held != nil {
+		c.claim.held.Release()
+		c.claim.held = nil
 	}
-	work.Leave()
-	claim.Release()
-	return spokeplain.Answer{}, refuse(KindServerFailed, retrySoon, "no backend server was reached, and nothing was sent")
 }
 
 // uncertain resolves an attempt that brought no answer of its own, by asking
 // the server about it if it can tell.
-func (c *call) uncertain(ctx context.Context, claim *spokeclaim.Claim) (spokeplain.Answer, *types.Refusal) {
+func (c *call) uncertain(ctx context.Context, claim *spokeclaim.Claim) (*spokecore.Reply, error) {
 	record := claim.Record()
 	report, known := c.seal(ctx, record.Server, record.Attempt)
 	switch {
 	case !known || (report.Ran && !report.Finished):
 		claim.Abandon()
-		return spokeplain.Answer{}, unsure(KindOutcomeUnknown, retrySoon, unknownReason)
+		return nil, c.refuseUnsure(KindOutcomeUnknown, retrySoon, unknownReason)
 	case !report.Ran:
 		claim.Release()
-		return spokeplain.Answer{}, refuse(KindServerFailed, retrySoon, "the backend server was cut off before the request ran")
+		return nil, c.refuse(refuse(KindServerFailed, retrySoon, "the backend server was cut off before the request ran"))
 	default:
 		claim.Finish(ctx, report.Answer)
-		return report.Answer, nil
+		return replyOf(report.Answer), nil
 	}
 }
 
 // seal asks a server what became of an attempt and forbids it from then on. It
 // waits a while for an attempt that is running.
 func (c *call) seal(ctx context.Context, name, attempt string) (spokeplain.Report, bool) {
-	instance, listed := c.server.Registry.Lookup(name)
-	if !c.visitor.service.ReportsOutcomes || !listed {
+	instance, listed := c.server.Core.Registry.Lookup(name)
+	if !c.access.service.ReportsOutcomes || !listed {
 		return spokeplain.Report{}, false
 	}
 	server := spokeplain.Server{URL: "http://" + instance.Address, Client: c.server.Client}
@@ -152,8 +176,8 @@
 	return server.Seal(ctx, attempt)
 }
 
-// other answers a repeat whose key another attempt has claimed.
-func (c *call) other(ctx context.Context, claim *spokeclaim.Claim) (spokeplain.Answer, *types.Refusal) {
+// sendOther answers a repeat whose key another attempt has claimed.
+func (c *call) sendOther(ctx context.Context, claim *spokeclaim.Claim, attempt spokecore.Attempt) (*spokecore.Reply, error) {
 	if claim.Record().State == spokeclaim.StateDone {
 		return c.replay(ctx, claim)
 	}
@@ -162,33 +186,39 @@
 	case err == nil && state == spokeclaim.StateClaimed:
 		return c.waitFor(ctx, claim)
 	case err == nil && state == spokeclaim.StateReleased:
-		return c.replace(ctx, claim)
+		return c.replace(ctx, claim, attempt)
 	}
 	record := claim.Record()
 	report, known := c.seal(ctx, record.Server, record.Attempt)
 	switch {
 	case !known || (report.Ran && !report.Finished):
-		return spokeplain.Answer{}, unsure(KindOutcomeUnknown, retrySlow, unknownReason)
+		return nil, c.refuseUnsure(KindOutcomeUnknown, retrySlow, unknownReason)
 	case !report.Ran:
-		return c.replace(ctx, claim)
+		return c.replace(ctx, claim, attempt)
 	default:
 		claim.Finish(ctx, report.Answer)
-		c.server.Counters.replayed.Inc()
-		return report.Answer, nil
+		return c.recorded(report.Answer), nil
 	}
 }
 
-func (c *call) replay(ctx context.Context, claim *spokeclaim.Claim) (spokeplain.Answer, *types.Refusal) {
+// recorded returns the answer that an earlier attempt got.
+func (c *call) recorded(answer spokeplain.Answer) *spokecore.Reply {
+	c.server.Counters.replayed.Inc()
+	reply := replyOf(answer)
+	reply.Recorded = true
+	return reply
+}
+
+func (c *call) replay(ctx context.Context, claim *spokeclaim.Claim) (*spokecore.Reply, error) {
 	answer, err := claim.Answer(ctx)
 	if err != nil {
-		return answer, unsure(KindClaims, retrySoon, "the request ran, but its recorded answer cannot be read now")
+		return nil, c.refuseUnsure(KindClaims, retrySoon, "the request ran, but its recorded answer cannot be read now")
 	}
-	c.server.Counters.replayed.Inc()
-	return answer, nil
+	return c.recorded(answer), nil
 }
 
 // waitFor looks for the outcome of an attempt that is under way elsewhere.
-func (c *call) waitFor(ctx context.Context, claim *spokeclaim.Claim) (spokeplain.Answer, *types.Refusal) {
+func (c *call) waitFor(ctx context.Context, claim *spokeclaim.Claim) (*spokecore.Reply, error) {
 	for range otherPolls {
 		if spokeclock.Sleep(ctx, otherPause) != nil {
 			break
@@ -200,24 +230,18 @@
 			return c.replay(ctx, claim)
 		}
 	}
-	return spokeplain.Answer{}, unsure(KindInProgress, retrySoon, "an earlier attempt of this request is still under way")
+	return nil, c.refuseUnsure(KindInProgress, retrySoon, "an earlier attempt of this request is still under way")
 }
 
 // replace claims the key in place of an attempt that is certain not to run.
-func (c *call) replace(ctx context.Context, old *spokeclaim.Claim) (spokeplain.Answer, *types.Refusal) {
-	work, refused := c.reserve(ctx)
-	if refused != nil {
-		return spokeplain.Answer{}, refused
-	}
-	claimed := c.server.Clock.Now()
-	outcome, err := c.server.Claims.Replace(ctx, old, c.record(work))
+func (c *call) replace(ctx context.Context, old *spokeclaim.Claim, attempt spokecore.Attempt) (*spokecore.Reply, error) {
+	c.claim.at = c.server.Clock.Now()
+	outcome, err := c.server.Claims.Replace(ctx, old, c.record(attempt))
 	if err != nil {
-		work.Leave()
-		return spokeplain.Answer{}, refuseClaim(err)
+		return nil, c.refuse(refuseClaim(err))
 	}
 	if outcome.Own() == nil {
-		work.Leave()
-		return spokeplain.Answer{}, unsure(KindInProgress, retrySoon, "another attempt of this request has begun")
+		return nil, c.refuseUnsure(KindInProgress, retrySoon, "another attempt of this request has begun")
 	}
-	return c.own(ctx, outcome.Own(), work, claimed)
+	return c.sendHeld(ctx, outcome.Own(), attempt)
 }
--- a/spokeserve/refusal.go
+++ b/spokeserve/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"mulberryspoke.example/mulberryspoke/gen/types"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecore"
 )
 
 // Kind tells why a request was refused.
@@ -105,6 +106,30 @@
 	return refusal(kind, OutcomeUnknown, scopeRequest, after, message)
 }
 
+// incomplete returns the answer to a request of which a part was delivered.
+func incomplete(kind Kind, message string) *types.Refusal {
+	return refusal(kind, OutcomeIncomplete, scopeRequest, retrySoon, message)
+}
+
+// describe returns the kind and the message for callers of what the core
+// refuses.
+func describe(refused *spokecore.Refusal) (Kind, string) {
+	switch refused.Kind() {
+	case spokecore.KindLimited:
+		return KindLimited, refused.Unwrap().Error()
+	case spokecore.KindOverloaded:
+		return KindOverloaded, "the service is full"
+	case spokecore.KindNoServer:
+		return KindNoServer, "no backend server is live"
+	case spokecore.KindTimeout:
+		return KindTimeout, "the service's timeout has run out"
+	case spokecore.KindGone:
+		return KindTimeout, "the caller went away"
+	default:
+		return KindServerFailed, "a backend server failed"
+	}
+}
+
 func refusal(kind Kind, outcome Outcome, scope string, after spokeclock.Millis, message string) *types.Refusal {
 	detail := &types.RefusalDetail{
 		Message: message,
