peer: prompts that will have been read are not told of

Change: an instance whose heartbeats come less than every 400 ms leaves unread prompts out.

Conclusion: late news is worse than none where it outlives its subject.

--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -184,7 +184,7 @@
 
 // changedUses returns what changed since the last heartbeat of the link.
 func (l *link) changedUses() Uses {
-	current := l.node.Registry.OwnUse()
+	current := Uses(l.node.Registry.OwnUse()).lasting(l.node.heartbeatInterval())
 	changed := make(Uses)
 	for id, use := range current {
 		if l.sentUses[id] != use {
--- a/spokepeer/uses.go
+++ b/spokepeer/uses.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 )
 
 // Uses are requests under way by backend server. Their JSON form is a string:
@@ -16,6 +17,23 @@
 // variable-length numbers in base 64. With names and field names it would be seven times as long.
 type Uses map[spokebackend.ID]spokebackend.Use
 
+// unreadLife is how long news of an unread prompt is worth telling. The longest
+// prompts of the services known take a quarter of a second to read; what comes
+// much later keeps requests from servers that have long read theirs.
+const unreadLife = 400 * spokeclock.Millis(1)
+
+// lasting drops what changes faster than heartbeats at an interval could tell.
+func (u Uses) lasting(interval spokeclock.Millis) Uses {
+	if interval <= unreadLife {
+		return u
+	}
+	for id, use := range u {
+		use.Unread = 0
+		u[id] = use
+	}
+	return u
+}
+
 var errUses = errors.New("uses are cut short")
 
 // MarshalJSON returns the string form.
--- a/spokepeer/uses_test.go
+++ b/spokepeer/uses_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokepeer"
 )
 
@@ -27,6 +28,16 @@
 	})
 }
 
+// TestLasting checks that peers which hear of each other seldom do not tell of
+// prompts that will have been read by then. On a grown site that sent requests
+// away from idle servers, and prompts' beginnings to servers without them.
+func TestLasting(t *testing.T) {
+	for interval, unread := range map[spokeclock.Millis]int{140: 7, 400: 7, 1240: 0, 1620: 0} {
+		uses := spokepeer.Uses{1: {All: 3, Long: 1, Unread: 7}}
+		require.Equal(t, spokepeer.Uses{1: {All: 3, Long: 1, Unread: unread}}, uses.Lasting(interval), "every %d ms", interval)
+	}
+}
+
 // FuzzUses checks that no text from a peer can do more than be refused.
 func FuzzUses(f *testing.F) {
 	for _, seed := range []string{`""`, `"AAI"`, `"////"`, `"!"`, `5`, `"gICAgICAgICAgIA"`} {
