--- a/spokeadmit/queue.go
+++ b/spokeadmit/queue.go
@@ -25,16 +25,16 @@
 	pollInterval = 10 * spokeclock.Millis(1)
 )
 
-// Room is how many requests a service can take now.
-type Room struct {
+// Capacity is how many requests a service can take now.
+type Capacity struct {
 	// All is the number of free slots.
 	All int
 	// Long is the number of them that long answers may take.
 	Long int
 }
 
-// Ticket is one request's wish to be admitted.
-type Ticket struct {
+// Request asks for a place.
+type Request struct {
 	// Workspace names who asks.
 	Workspace string
 	// Weight is the workspace's part in a fair share. It must be positive.
@@ -48,9 +48,9 @@
 // Queue admits the requests of one service. Set its fields before the first
 // call. It is safe for concurrent use.
 type Queue struct {
-	// RoomFunc returns the room that backend servers have besides what this
+	// CapacityFunc returns the capacity that backend servers have besides what this
 	// queue has admitted. It is called with the queue locked.
-	RoomFunc func() Room
+	CapacityFunc func() Capacity
 	// Clock tells the time. Nil means the real one.
 	Clock *spokeclock.Clock
 
@@ -65,55 +65,55 @@
 }
 
 type waiter struct {
-	ticket Ticket
-	ready  chan struct{}
+	request Request
+	ready   chan struct{}
 }
 
 // Admission is an admitted request's place. Release it exactly once.
 type Admission struct {
-	queue  *Queue
-	ticket Ticket
+	queue   *Queue
+	request Request
 }
 
 // Admit waits for a place. It returns an error of kind KindFull at once when
 // the wait would be longer than allowed, KindLapsed when it was, or
 // KindCancelled.
-func (q *Queue) Admit(ctx context.Context, ticket Ticket) (*Admission, error) {
-	w, err := q.enter(ticket)
+func (q *Queue) Admit(ctx context.Context, request Request) (*Admission, error) {
+	w, err := q.enter(request)
 	if err != nil {
 		return nil, err
 	}
-	lapse, cancel := context.WithTimeout(ctx, ticket.MaxWait.Duration())
+	lapse, cancel := context.WithTimeout(ctx, request.MaxWait.Duration())
 	defer cancel()
 	select {
 	case <-w.ready:
-		return &Admission{queue: q, ticket: ticket}, nil
+		return &Admission{queue: q, request: request}, nil
 	case <-lapse.Done():
 	}
 	if !q.leave(w) {
-		return &Admission{queue: q, ticket: ticket}, nil
+		return &Admission{queue: q, request: request}, nil
 	}
 	if ctx.Err() != nil {
 		return nil, spokeerror.New("admit", KindCancelled, ctx.Err())
 	}
-	return nil, spokeerror.Newf("admit", KindLapsed, "no place within %d ms", ticket.MaxWait)
+	return nil, spokeerror.Newf("admit", KindLapsed, "no place within %d ms", request.MaxWait)
 }
 
-func (q *Queue) enter(ticket Ticket) (*waiter, error) {
+func (q *Queue) enter(request Request) (*waiter, error) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if q.admitted == nil {
 		q.admitted = make(map[string]int)
 	}
-	w := &waiter{ticket: ticket, ready: make(chan struct{})}
+	w := &waiter{request: request, ready: make(chan struct{})}
 	q.waiting = append(q.waiting, w)
 	q.dispatch()
 	if admittedNow(w) {
 		return w, nil
 	}
-	if q.expectedWait(ticket) > ticket.MaxWait {
+	if q.expectedWait(request) > request.MaxWait {
 		q.remove(w)
-		return nil, spokeerror.Newf("admit", KindFull, "the expected wait is over %d ms", ticket.MaxWait)
+		return nil, spokeerror.Newf("admit", KindFull, "the expected wait is over %d ms", request.MaxWait)
 	}
 	q.poll()
 	return w, nil
@@ -154,9 +154,9 @@
 		}
 		w := q.waiting[next]
 		q.waiting = append(q.waiting[:next], q.waiting[next+1:]...)
-		q.admitted[w.ticket.Workspace]++
+		q.admitted[w.request.Workspace]++
 		q.inUse++
-		if w.ticket.Long {
+		if w.request.Long {
 			q.longUse++
 		}
 		close(w.ready)
@@ -170,23 +170,23 @@
 	if len(q.waiting) == 0 {
 		return -1
 	}
-	room := q.RoomFunc()
-	if room.All-q.inUse <= 0 {
+	capacity := q.CapacityFunc()
+	if capacity.All-q.inUse <= 0 {
 		return -1
 	}
 	best := -1
 	for i, w := range q.waiting {
-		if w.ticket.Long && room.Long-q.longUse <= 0 {
+		if w.request.Long && capacity.Long-q.longUse <= 0 {
 			continue
 		}
-		if best < 0 || q.before(w.ticket, q.waiting[best].ticket) {
+		if best < 0 || q.before(w.request, q.waiting[best].request) {
 			best = i
 		}
 	}
 	return best
 }
 
-func (q *Queue) before(a, b Ticket) bool {
+func (q *Queue) before(a, b Request) bool {
 	if a.Long != b.Long {
 		return !a.Long
 	}
@@ -201,12 +201,12 @@
 	q := a.queue
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.admitted[a.ticket.Workspace]--
-	if q.admitted[a.ticket.Workspace] == 0 {
-		delete(q.admitted, a.ticket.Workspace)
+	q.admitted[a.request.Workspace]--
+	if q.admitted[a.request.Workspace] == 0 {
+		delete(q.admitted, a.request.Workspace)
 	}
 	q.inUse--
-	if a.ticket.Long {
+	if a.request.Long {
 		q.longUse--
 	}
 	q.count()
@@ -225,26 +225,26 @@
 }
 
 // ahead returns how many waiting requests go before a new one.
-func (q *Queue) ahead(ticket Ticket) int {
+func (q *Queue) ahead(request Request) int {
 	count := 0
 	for _, w := range q.waiting {
-		if !w.ticket.Long || ticket.Long {
+		if !w.request.Long || request.Long {
 			count++
 		}
 	}
 	return count
 }
 
-func (q *Queue) expectedWait(ticket Ticket) spokeclock.Millis {
-	return spokeclock.Millis(float64(q.ahead(ticket)) * q.gap)
+func (q *Queue) expectedWait(request Request) spokeclock.Millis {
+	return spokeclock.Millis(float64(q.ahead(request)) * q.gap)
 }
 
 // ExpectedWait returns how long a new request would wait, at least one second,
 // as a time to come back after.
-func (q *Queue) ExpectedWait(ticket Ticket) spokeclock.Millis {
+func (q *Queue) ExpectedWait(request Request) spokeclock.Millis {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return max(spokeclock.Second, q.expectedWait(ticket))
+	return max(spokeclock.Second, q.expectedWait(request))
 }
 
 // Waiting returns the number of waiting requests.
--- a/spokeadmit/queue_test.go
+++ b/spokeadmit/queue_test.go
@@ -68,11 +68,11 @@
 func (c queueCase) run(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var mutex sync.Mutex
-	room := spokeadmit.Room{All: c.Room, Long: c.LongRoom}
-	queue := &spokeadmit.Queue{RoomFunc: func() spokeadmit.Room {
+	capacity := spokeadmit.Capacity{All: c.Room, Long: c.LongRoom}
+	queue := &spokeadmit.Queue{CapacityFunc: func() spokeadmit.Capacity {
 		mutex.Lock()
 		defer mutex.Unlock()
-		return room
+		return capacity
 	}}
 	held := &holders{places: make(map[string]*spokeadmit.Admission)}
 	var asking sync.WaitGroup
@@ -82,9 +82,9 @@
 		switch {
 		case s.Ask != "":
 			waiting := queue.Waiting()
-			ticket := spokeadmit.Ticket{Workspace: s.Workspace, Weight: max(1, s.Weight), Long: s.Long, MaxWait: 60 * spokeclock.Second}
+			request := spokeadmit.Request{Workspace: s.Workspace, Weight: max(1, s.Weight), Long: s.Long, MaxWait: 60 * spokeclock.Second}
 			asking.Go(func() {
-				if place, err := queue.Admit(ctx, ticket); err == nil {
+				if place, err := queue.Admit(ctx, request); err == nil {
 					held.add(s.Ask, place)
 				}
 			})
@@ -95,7 +95,7 @@
 			held.release(s.Release)
 		case s.SetRoom != nil:
 			mutex.Lock()
-			room = spokeadmit.Room{All: *s.SetRoom, Long: *s.SetRoom}
+			capacity = spokeadmit.Capacity{All: *s.SetRoom, Long: *s.SetRoom}
 			mutex.Unlock()
 		}
 		require.Eventually(t, func() bool { return slices.Equal(held.now(), s.Admitted) }, time.Second, time.Millisecond,
@@ -107,20 +107,20 @@
 // waiting.
 func TestRefusesAtOnce(t *testing.T) {
 	clock := &spokeclock.Manual{}
-	queue := &spokeadmit.Queue{RoomFunc: func() spokeadmit.Room { return spokeadmit.Room{All: 1} }, Clock: clock.Clock()}
-	ticket := spokeadmit.Ticket{Workspace: "a", Weight: 1, MaxWait: 100}
+	queue := &spokeadmit.Queue{CapacityFunc: func() spokeadmit.Capacity { return spokeadmit.Capacity{All: 1} }, Clock: clock.Clock()}
+	request := spokeadmit.Request{Workspace: "a", Weight: 1, MaxWait: 100}
 	for range 50 {
-		place, err := queue.Admit(context.Background(), ticket)
+		place, err := queue.Admit(context.Background(), request)
 		require.NoError(t, err)
 		clock.Advance(spokeclock.Second)
 		place.Release()
 	}
-	place, err := queue.Admit(context.Background(), ticket)
+	place, err := queue.Admit(context.Background(), request)
 	require.NoError(t, err)
 	defer place.Release()
 	started := time.Now()
-	_, err = queue.Admit(context.Background(), ticket)
+	_, err = queue.Admit(context.Background(), request)
 	require.Equal(t, spokeadmit.KindFull, spokeerror.KindOf[spokeadmit.Kind](err))
 	require.Less(t, time.Since(started), 50*time.Millisecond)
-	require.GreaterOrEqual(t, queue.ExpectedWait(ticket), spokeclock.Second)
+	require.GreaterOrEqual(t, queue.ExpectedWait(request), spokeclock.Second)
 }
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -120,17 +120,17 @@
 			s.budget.ReserveFunc = c.retryReserve
 		}
 		s.queue.Clock = c.Clock
-		s.queue.RoomFunc = func() spokeadmit.Room { return c.room(name) }
+		s.queue.CapacityFunc = func() spokeadmit.Capacity { return c.capacity(name) }
 		s.policy.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Choices need no secrecy.
 		c.services[name] = s
 	}
 	return s
 }
 
-// room is what a service's servers can take besides what peers send them.
-func (c *Core) room(service string) spokeadmit.Room {
+// capacity is what a service's servers can take besides what peers send them.
+func (c *Core) capacity(service string) spokeadmit.Capacity {
 	capacity := c.Registry.Capacity(service)
-	return spokeadmit.Room{
+	return spokeadmit.Capacity{
 		All:  capacity.Slots() - capacity.Peers().All,
 		Long: capacity.LongSlots() - capacity.Peers().Long,
 	}
--- a/spokecore/limit.go
+++ b/spokecore/limit.go
@@ -60,15 +60,15 @@
 	if r.core.MaxWaitFunc == nil {
 		return nil, nil
 	}
-	ticket := spokeadmit.Ticket{
+	request := spokeadmit.Request{
 		Workspace: r.request.workspaceName(), Weight: 1, Long: r.request.longAnswer(), MaxWait: r.core.MaxWaitFunc(r.request),
 	}
 	if w := r.request.Workspace; w != nil {
-		ticket.Weight = w.Share * w.Priority
+		request.Weight = w.Share * w.Priority
 	}
-	admission, err := r.service.queue.Admit(ctx, ticket)
+	admission, err := r.service.queue.Admit(ctx, request)
 	if err != nil {
-		return nil, &Refusal{kind: KindOverloaded, notRun: true, after: r.service.queue.ExpectedWait(ticket), cause: err}
+		return nil, &Refusal{kind: KindOverloaded, notRun: true, after: r.service.queue.ExpectedWait(request), cause: err}
 	}
 	return admission, nil
 }
--- a/spokecore/watch.go
+++ b/spokecore/watch.go
@@ -122,7 +122,7 @@
 	if !w.first && w.silence.Notice > 0 && silence >= w.silence.Notice {
 		w.work.Stalled()
 	}
-	if silence >= w.limit() && !w.waitsItsTurn(silence) {
+	if silence >= w.limit() && !w.isQueued(silence) {
 		w.work.Stalled()
 		if w.mayMove() {
 			w.cancel(errSilent)
@@ -139,9 +139,9 @@
 	return w.silence.Gap
 }
 
-// waitsItsTurn reports whether a request without an answer may just be queued.
+// isQueued reports whether a request without an answer may just be queued.
 // Where every other server is full too, a move would only lose its turn.
-func (w *watch) waitsItsTurn(silence spokeclock.Millis) bool {
+func (w *watch) isQueued(silence spokeclock.Millis) bool {
 	return w.first && silence < turnFactor*w.silence.First && !w.better()
 }
 
--- a/spokeroute/policy.go
+++ b/spokeroute/policy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 )
 
@@ -11,11 +12,13 @@
 	// LongShare is the part of a server's slots that long answers may take.
 	LongShare = 0.5
 
-	queueCost       = 4.0
-	remoteCost      = 0.15
-	cachedDiscount  = 0.35
-	jitterCost      = 0.02
-	staleReportAge  = 5000
+	// The costs are in units of a normal server's full load.
+	queueCost      = 4.0
+	remoteCost     = 0.15
+	cachedDiscount = 0.35
+	jitterCost     = 0.02
+	// staleReportAge is the age from which a report tells nothing.
+	staleReportAge  = 5 * spokeclock.Second
 	minimumTrust    = 0.01
 	defaultSlots    = 8
 	twoChoicesCount = 2
--- a/spokestandin/engine.go
+++ b/spokestandin/engine.go
@@ -84,7 +84,7 @@
 	next    int
 	out     chan spokeengine.Event
 	gone    bool
-	quirk   quirk
+	fault   streamFault
 }
 
 // Token returns the token at a place of the answer to a prompt, so that a
@@ -240,7 +240,7 @@
 		prompt:  PromptOf(request.Messages),
 		next:    len(request.Resume),
 		out:     make(chan spokeengine.Event, request.MaxTokens+1),
-		quirk:   e.takeQuirk(),
+		fault:   e.takeStreamFault(),
 	}
 	s.left = e.toCompute(s)
 	s.compute = s.left
--- a/spokestandin/quirk.go
+++ b/spokestandin/streamfault.go
@@ -8,16 +8,16 @@
 	"mulberryspoke.example/mulberryspoke/spokeengine"
 )
 
-// quirk is what goes wrong with one stream.
-type quirk struct {
+// streamFault is what goes wrong with one stream.
+type streamFault struct {
 	truncateAfter int
 	duplicate     bool
 	cross         bool
 	skip          bool
 }
 
-func (e *Engine) takeQuirk() quirk {
-	q := quirk{truncateAfter: -1}
+func (e *Engine) takeStreamFault() streamFault {
+	q := streamFault{truncateAfter: -1}
 	if e.faults.Truncate > 0 {
 		e.faults.Truncate--
 		q.truncateAfter = e.faults.TruncateAfter
@@ -39,20 +39,20 @@
 // write sends an event, with what goes wrong with its stream.
 func (s *sequence) write(w http.ResponseWriter, event spokeengine.Event) {
 	produced := event.Index - len(s.request.Resume)
-	if s.quirk.truncateAfter >= 0 && produced >= s.quirk.truncateAfter {
+	if s.fault.truncateAfter >= 0 && produced >= s.fault.truncateAfter {
 		panic(http.ErrAbortHandler)
 	}
-	if s.quirk.skip && produced == 1 && event.Finish == "" {
+	if s.fault.skip && produced == 1 && event.Finish == "" {
 		return
 	}
-	if s.quirk.cross {
+	if s.fault.cross {
 		foreign := event
 		foreign.Attempt = "another-attempt"
 		foreign.Token = "WRONG "
 		writeEvent(w, foreign)
 	}
 	writeEvent(w, event)
-	if s.quirk.duplicate && event.Finish == "" {
+	if s.fault.duplicate && event.Finish == "" {
 		writeEvent(w, event)
 	}
 }
