--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -63,11 +63,12 @@
 
 // long reports whether the request holds others up.
 func (r *Request) long() bool {
-	return r.PromptTokens >= longPrompt || r.longAnswer()
+	return r.PromptTokens >= longPrompt || r.LongAnswer()
 }
 
-// longAnswer reports whether a long answer is expected.
-func (r *Request) longAnswer() bool {
+// LongAnswer reports whether a long answer is expected, by the service's own
+// measure.
+func (r *Request) LongAnswer() bool {
 	return r.AnswerTokens > 0 && r.AnswerTokens >= r.Service.LongAnswerTokens
 }
 
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -102,7 +102,7 @@
 	for {
 		// An answer that moves is not held back by the share of long ones: its KV
 		// cache is gone by the time that there is room.
-		held := r.request.longAnswer() && r.from.Name == ""
+		held := r.request.LongAnswer() && r.from.Name == ""
 		decision := r.core.choose(r.service, r.request, r.tried, held)
 		if decision.Server() != "" || r.core.Clock.Now() >= until || spokeclock.Sleep(deadline, pickPause) != nil {
 			return decision
--- a/spokeserve/chat.go
+++ b/spokeserve/chat.go
@@ -31,12 +31,17 @@
 	noticeFactor  = 3
 	noticeMinimum = 50 * spokeclock.Millis(1)
 
+	// defaultMaxTokens and largestMaxTokens bound an answer, in tokens.
 	defaultMaxTokens = 128
 	largestMaxTokens = 32768
-	contentJSON      = "application/json"
-	contentEvents    = "text/event-stream"
-	quickPriority    = 8
-	longPriority     = 2
+
+	contentJSON   = "application/json"
+	contentEvents = "text/event-stream"
+
+	// quickPriority and longPriority order requests within an engine, in steps
+	// that no workspace's priority outweighs.
+	quickPriority = 8
+	longPriority  = 2
 )
 
 // chatRequest is what is read of a model client's request. Fields that are not
@@ -132,7 +137,7 @@
 			Model:     request.Model,
 			Messages:  request.Messages,
 			MaxTokens: request.MaxTokens,
-			Priority:  s.priority(a, request.MaxTokens >= a.service.LongAnswerTokens),
+			Priority:  s.priority(a, asked.LongAnswer()),
 		},
 		tokens: make(chan string, tokenRing),
 	}
--- a/spokeserve/once.go
+++ b/spokeserve/once.go
@@ -13,12 +13,19 @@
 
 const (
 	// sendWithin is how long after its claim an attempt may still be sent.
-	sendWithin    = 3 * spokeclock.Second
-	sealPause     = 100 * spokeclock.Millis(1)
-	sealPatience  = 5 * spokeclock.Second
-	sealTimeout   = spokeclock.Second
-	otherPolls    = 4
-	otherPause    = 150 * spokeclock.Millis(1)
+	sendWithin = 3 * spokeclock.Second
+	// sealPause is the pause between two questions about a running attempt.
+	sealPause = 100 * spokeclock.Millis(1)
+	// sealPatience is how long a running attempt is waited for; most bookings
+	// take a fraction of it.
+	sealPatience = 5 * spokeclock.Second
+	// sealTimeout bounds one question.
+	sealTimeout = spokeclock.Second
+	// otherPolls and otherPause are how often and at which distance an attempt
+	// under way elsewhere is looked for: about as long as a usual booking.
+	otherPolls = 4
+	otherPause = 150 * spokeclock.Millis(1)
+
 	unknownReason = "the request may have run; a repeat with the same key does not run it again"
 )
 
--- a/spokeserve/server.go
+++ b/spokeserve/server.go
@@ -19,8 +19,10 @@
 const (
 	bearerPrefix     = "Bearer "
 	defaultBodyBytes = 1 << 20
-	longWaitFactor   = 10
-	defaultWait      = spokeclock.Second
+	// longWaitFactor lets long answers, which run for many seconds, wait longer.
+	longWaitFactor = 10
+	// defaultWait is the wait at a service without a target.
+	defaultWait = spokeclock.Second
 )
 
 // Server answers the callers of one entry instance. Set its fields before the
@@ -148,7 +150,7 @@
 	if wait == 0 {
 		wait = defaultWait
 	}
-	if request.AnswerTokens >= request.Service.LongAnswerTokens {
+	if request.LongAnswer() {
 		wait *= longWaitFactor
 	}
 	return wait
