core: switching priority off holds for admission too

Change: a field of the core. The role on the users' platform does not admit by queue, so that its plays are not touched. Tests of spokecore and spokeentry, and lint, passed.

--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -33,6 +33,9 @@
 	// MaxWaitFunc returns how long a request may wait for room at its service.
 	// Nil sends all requests on at once.
 	MaxWaitFunc func(request *Request) spokeclock.Millis
+	// EqualAdmission gives quick requests no priority over long ones while they
+	// wait for room.
+	EqualAdmission bool
 	// Patience is how long a request waits for a live backend server. Zero
 	// refuses it at once.
 	Patience spokeclock.Millis
--- a/spokecore/limit.go
+++ b/spokecore/limit.go
@@ -61,7 +61,7 @@
 		return nil, nil
 	}
 	request := spokeadmit.Request{
-		Workspace: r.request.workspaceName(), Weight: 1, Long: r.request.LongAnswer(), MaxWait: r.core.MaxWaitFunc(r.request),
+		Workspace: r.request.workspaceName(), Weight: 1, Long: r.request.LongAnswer() && !r.core.EqualAdmission, MaxWait: r.core.MaxWaitFunc(r.request),
 	}
 	if w := r.request.Workspace; w != nil {
 		request.Weight = w.Share * w.Priority
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -224,7 +224,7 @@
 func (e *Entry) newCore() *spokecore.Core {
 	core := &spokecore.Core{
 		Registry: e.registry, Limiter: &spokelimit.Limiter{}, MembersFunc: e.view.Sharers,
-		Patience: pickPatience, ResumePatience: resumePatience,
+		EqualAdmission: e.switchedOff("priority"), Patience: pickPatience, ResumePatience: resumePatience,
 		MovesLeaving: !e.switchedOff("move"), MovesSlow: !e.switchedOff("slow_move"),
 		Counters: spokecore.NewCounters(e.metrics), Log: e.Logs.Part("serve"),
 	}
--- a/spokeserve/doc.go
+++ b/spokeserve/doc.go
@@ -1,4 +1,5 @@
-// Package spokeserve answers callers: it checks who asks, admits the request,
-// chooses a backend server, and sees to it that the answer is whole, its own,
-// and given at most once where that is asked for.
+// Package spokeserve is the product's own interface to callers. It checks who
+// asks for what, speaks the protocols of model clients, engines and plain
+// services, and makes requests with an idempotency key run at most once. What
+// happens in between is the work of package spokecore.
 package spokeserve
