core: an attempt under way counts among those that may run

Change: an attempt counts as run when it is begun, and no longer if it turns out not sent, not run or recorded.

--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -52,12 +52,14 @@
 func (r *run) exchangeWith(ctx context.Context, work *spokebackend.Work, w *watch, cancel context.CancelCauseFunc) error {
 	from := r.from
 	r.from = spokecloud.Instance{}
+	// An attempt under way counts as run until it is known not to have.
+	r.ran.Add(1)
 	reply, err := r.exchange.SendFunc(ctx, Attempt{
 		Server: work.Instance(), From: from, Left: r.left(), Urgency: r.request.urgency(), LastEvent: r.lastEvent,
 	})
 	if err != nil {
-		if kind := spokeerror.KindOf[Kind](err); kind == KindNoAnswer || kind == KindSpoiled {
-			r.ran.Add(1)
+		if kind := spokeerror.KindOf[Kind](err); kind != KindNoAnswer && kind != KindSpoiled {
+			r.ran.Add(-1)
 		}
 		return err
 	}
@@ -65,10 +67,10 @@
 		defer func() { _ = reply.Body.Close() }()
 	}
 	if reply.Recorded {
+		r.ran.Add(-1)
 		work.Leave()
 		return r.handWhole(reply, work)
 	}
-	r.ran.Add(1)
 	if reply.Load != nil {
 		r.core.Registry.TakeReport(work.Instance().Name, *reply.Load)
 	}
