core: look at each data centre once for a choice

Cause: every choice asked for each of up to 90 candidates whether its data centre can be reached, which goes over all peers under a lock; and it hashed the shared beginning of the prompt again, as did the verdict on the attempt.

Change: one look for each data centre; the beginning's length and key belong to the request under way, so that choosing is its method and takes no arguments that it holds. Choices are the same.

Measured with a benchmark of the moment (90 candidates, 5 data centres, 81 peers): 15.0 us before, 2.2 us after. BenchmarkServe, one data centre, shows no difference (574 to 631 us before, 514 to 653 us after, three runs each in turn). TestServe and TestForward passed.

--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -91,8 +91,8 @@
 	case err == nil:
 		work.Succeed()
 		r.learnAnswer()
-		if _, affinity := r.request.shared(); affinity != 0 {
-			r.service.prefixes.Put(affinity, work.Instance().Name)
+		if r.affinity != 0 {
+			r.service.prefixes.Put(r.affinity, work.Instance().Name)
 		}
 	case errors.Is(cause, errSilent):
 		work.Fail()
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -98,6 +98,7 @@
 	defer c.active.Add(-1)
 	ctx, span := spoketrace.Begin(ctx, "serve request")
 	r := &run{core: c, request: request, exchange: exchange, service: c.service(request.Service.Name), started: c.Clock.Now()}
+	r.shared, r.affinity = request.shared()
 	refusal := r.serve(ctx)
 	r.report(refusal)
 	if refusal == nil {
@@ -183,25 +184,37 @@
 	return c.Clock.Now()-c.Registry.Answered(dataCentre) > freshAnswer
 }
 
+// markCutOff looks at each data centre once, as there are many servers in each.
+func (c *Core) markCutOff(candidates []spokeroute.Candidate) {
+	known := make(map[string]bool)
+	for i := range candidates {
+		dataCentre := candidates[i].DataCentre
+		cutOff, looked := known[dataCentre]
+		if !looked {
+			cutOff = c.cutOff(dataCentre)
+			known[dataCentre] = cutOff
+		}
+		candidates[i].CutOff = cutOff
+	}
+}
+
 // budgetMargin keeps the repeats below their bound, as requests that are sent
 // again by callers count as new ones at another instance only.
 const budgetMargin = 0.7
 
 // choose picks a backend server and notes why. Held says that a long answer may
 // take its part of a server's slots only.
-func (c *Core) choose(s *service, request *Request, avoid []string, held bool) spokeroute.Decision {
-	shared, affinity := request.shared()
-	candidates := c.Registry.Candidates(request.Service.Name, s.prefixes.Get(affinity))
-	for i := range candidates {
-		candidates[i].CutOff = c.cutOff(candidates[i].DataCentre)
-	}
+func (r *run) choose(held bool) spokeroute.Decision {
+	c, s := r.core, r.service
+	candidates := c.Registry.Candidates(r.request.Service.Name, s.prefixes.Get(r.affinity))
+	c.markCutOff(candidates)
 	members := c.members()
 	s.mutex.Lock()
-	s.policy.Routing = routing(request, members)
+	s.policy.Routing = routing(r.request, members)
 	decision := s.policy.Choose(candidates, spokeroute.Request{
-		Long: held, Avoid: avoid, Prompt: request.PromptTokens, Shared: shared, Affinity: affinity, Choosers: members,
+		Long: held, Avoid: r.tried, Prompt: r.request.PromptTokens, Shared: r.shared, Affinity: r.affinity, Choosers: members,
 	})
 	s.mutex.Unlock()
-	c.placements.put(Placement{at: c.Clock.Now(), workspace: request.workspaceName(), service: request.Service.Name, decision: decision})
+	c.placements.put(Placement{at: c.Clock.Now(), workspace: r.request.workspaceName(), service: r.request.Service.Name, decision: decision})
 	return decision
 }
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -29,6 +29,10 @@
 	exchange Exchange
 	service  *service
 	started  spokeclock.Millis
+	// shared and affinity are the length and the key of the beginning that the
+	// prompt shares with others.
+	shared   int
+	affinity uint64
 
 	tried     []string
 	ran       atomic.Int64
@@ -103,7 +107,7 @@
 		// An answer that moves is not held back by the share of long ones: its KV
 		// cache is gone by the time that there is room.
 		held := r.request.LongAnswer() && r.from.Name == ""
-		decision := r.core.choose(r.service, r.request, r.tried, held)
+		decision := r.choose(held)
 		if decision.Server() != "" || r.core.Clock.Now() >= until || spokeclock.Sleep(deadline, pickPause) != nil {
 			return decision
 		}
