--- a/spokehttp/client.go
+++ b/spokehttp/client.go
@@ -33,7 +33,7 @@
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	transport := &http.Transport{
-		DialContext:         dialWith(dialer),
+		DialContext:         DialWith(dialer),
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -58,7 +58,9 @@
 	return KindNoAnswer
 }
 
-func dialWith(dialer *net.Dialer) dialFunc {
+// DialWith returns a dial function for a transport whose failures to connect
+// KindOfFailure tells from those of requests that may have been sent.
+func DialWith(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -68,8 +70,6 @@
 	}
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // NewSingleClient returns a client that uses each connection for one request.
 // The HTTP library sends a request again when a reused connection turns out to
 // be dead; on a fresh one it never does.
