usage, peer, platform: the zero ledger counts nothing, one comparison of counters

The links compared counters, uses and slots with what was sent last by three loops of the same shape, and counters were copied by hand where maps.Clone and maps.Copy stand elsewhere.

What is sent and counted is the same. The packages' tests and lint passed.

--- a/spokelimit/pool.go
+++ b/spokelimit/pool.go
@@ -1,6 +1,7 @@
 package spokelimit
 
 import (
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -336,11 +337,8 @@
 func (p *Pool) Counts() map[string]int64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	counts := make(map[string]int64, len(p.own))
-	for key, count := range p.own {
-		counts[key] = count
-	}
-	return counts
+	p.fill()
+	return maps.Clone(p.own)
 }
 
 // TakeCounts takes in the counters of one run of a peer that have changed.
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -161,14 +161,20 @@
 		return nil
 	}
 	current := l.node.CountsFunc()
-	changed := make(map[string]int64)
-	for key, count := range current {
-		if l.sentCounts[key] != count {
-			changed[key] = count
+	fresh := changed(l.sentCounts, current)
+	l.sentCounts = current
+	return fresh
+}
+
+// changed returns the entries that were not so before.
+func changed[K, V comparable](before, now map[K]V) map[K]V {
+	fresh := make(map[K]V)
+	for key, value := range now {
+		if before[key] != value {
+			fresh[key] = value
 		}
 	}
-	l.sentCounts = current
-	return changed
+	return fresh
 }
 
 // changedInterval returns the time between heartbeats if it has changed since
@@ -185,30 +191,23 @@
 // changedUses returns what changed since the last heartbeat of the link.
 func (l *link) changedUses() Uses {
 	current := Uses(l.node.Registry.OwnUse()).lasting(l.node.heartbeatInterval())
-	changed := make(Uses)
-	for id, use := range current {
-		if l.sentUses[id] != use {
-			changed[id] = use
-		}
-	}
+	fresh := changed(l.sentUses, current)
 	for id := range l.sentUses {
 		if _, still := current[id]; !still {
-			changed[id] = spokebackend.Use{}
+			fresh[id] = spokebackend.Use{}
 		}
 	}
 	l.sentUses = current
-	return changed
+	return fresh
 }
 
 // newSlots returns the servers' slots that this instance has read and the
 // peer has not been told.
 func (l *link) newSlots() Uses {
 	fresh := make(Uses)
-	for id, slots := range l.node.Registry.OwnSlots() {
-		if l.sentSlots[id] != slots {
-			fresh[id] = spokebackend.Use{All: slots}
-			l.sentSlots[id] = slots
-		}
+	for id, slots := range changed(l.sentSlots, l.node.Registry.OwnSlots()) {
+		fresh[id] = spokebackend.Use{All: slots}
+		l.sentSlots[id] = slots
 	}
 	return fresh
 }
--- a/spokeusage/ledger.go
+++ b/spokeusage/ledger.go
@@ -23,7 +23,7 @@
 // Ledger counts begun requests by window and workspace, its own and its peers'.
 // Set its fields before the first call. It is safe for concurrent use.
 type Ledger struct {
-	// Span is the length of a window.
+	// Span is the length of a window. Zero counts nothing.
 	Span spokeclock.Millis
 	// WallFunc tells the time since the Unix epoch. Nil means the real one.
 	WallFunc func() spokeclock.Millis
@@ -60,6 +60,9 @@
 
 // Begun counts a request that began to run now.
 func (l *Ledger) Begun(workspace string) {
+	if l.Span <= 0 {
+		return
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.own == nil {
@@ -114,6 +117,9 @@
 // TakeCounts takes in the counts of one run of a peer that have changed. Keys
 // of other counters are passed over.
 func (l *Ledger) TakeCounts(peer string, generation int64, counts map[string]int64) {
+	if l.Span <= 0 {
+		return
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.peers == nil {
--- a/spokeusage/reporter_test.go
+++ b/spokeusage/reporter_test.go
@@ -131,3 +131,12 @@
 	}
 	require.Equal(p, c.Counts, p.counts)
 }
+
+// TestLedgerWithoutWindows checks that a ledger whose windows have no length
+// counts nothing.
+func TestLedgerWithoutWindows(t *testing.T) {
+	var ledger spokeusage.Ledger
+	ledger.Begun("w")
+	ledger.TakeCounts("peer", 1, map[string]int64{"begun/1/w": 1})
+	require.Empty(t, ledger.Counts())
+}
