http, entry, platform: one way to serve a listener and to write metrics

Cause: both processes had the same two functions, word for word.

Change: spokehttp.Serve and spokehttp.Metrics serve both. What is logged and written is the same.

--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -94,8 +93,8 @@
 	defer stopDuties()
 	var running sync.WaitGroup
 	e.startDuties(duties, &running)
-	running.Go(func() { e.serve(e.callers, listeners.callers) })
-	running.Go(func() { e.serve(e.ops, listeners.operators) })
+	running.Go(func() { spokehttp.Serve(e.callers, listeners.callers, e.log) })
+	running.Go(func() { spokehttp.Serve(e.ops, listeners.operators, e.log) })
 	e.log.Info().Str("callers", e.Settings.CallerAddress).Msg("Entry instance serves.")
 	close(e.ready)
 	select {
@@ -288,9 +287,3 @@
 		}
 	}
 }
-
-func (e *Entry) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		e.log.Error().Err(err).Msg("Listener failed.")
-	}
-}
--- a/spokeentry/http.go
+++ b/spokeentry/http.go
@@ -14,6 +14,7 @@
 	queryserver "mulberryspoke.example/mulberryspoke/gen/http/query/server"
 	"mulberryspoke.example/mulberryspoke/gen/plain"
 	"mulberryspoke.example/mulberryspoke/gen/query"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeserve"
 )
 
@@ -32,7 +33,7 @@
 	commandserver.New(command.NewEndpoints(e.commands), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, e.writeFailed, nil).Mount(mux)
 	queryserver.New(query.NewEndpoints(e.queries), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, e.writeFailed, nil).Mount(mux)
 	mux.Handle(http.MethodGet, "/ready", e.readiness)
-	mux.Handle(http.MethodGet, "/metrics", e.writeMetrics)
+	mux.Handle(http.MethodGet, "/metrics", spokehttp.Metrics(e.metrics))
 	return mux
 }
 
--- a/spokeentry/metrics.go
+++ b/spokeentry/metrics.go
@@ -1,11 +1,5 @@
 package spokeentry
 
-import (
-	"net/http"
-
-	"github.com/VictoriaMetrics/metrics"
-)
-
 // publish adds the gauges that are read when metrics are asked for.
 func (e *Entry) publish() {
 	traffic := e.node.Traffic()
@@ -26,8 +20,3 @@
 		rows.Add(count)
 	}
 }
-
-func (e *Entry) writeMetrics(w http.ResponseWriter, _ *http.Request) {
-	e.metrics.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
-}
