spokelimit: draw the first random fraction when an allotment is created

TestDeployments showed it only when run alone, since the process is older when the whole package runs. Ruled out: a later time of the first draw; the level starts at the process start and is never quite 0. Change: the draw is made with the allotment.

--- a/spokelimit/allotment.go
+++ b/spokelimit/allotment.go
@@ -184,7 +184,7 @@
 func (l *AllotmentLimiter) refresh(w *spokeconfig.Workspace, now spokeclock.Millis) *allotmentState {
 	a, known := l.allotments[w.Name]
 	if !known {
-		a = &allotmentState{localDemand: spokerate.Rate{TimeConstant: demandTimeConstant}}
+		a = &allotmentState{localDemand: spokerate.Rate{TimeConstant: demandTimeConstant}, draw: l.random(), drawnAt: now}
 		l.allotments[w.Name] = a
 	}
 	seconds := float64(now-a.updatedAt) / float64(spokeclock.Second)
