spokebackend: bound what a single token gap counts

Cause: a process that waits for a core sees one long gap and then the tokens that were buffered meanwhile. Ruled out: a meter of the process's own scheduling delay. Threads wait for a core one by one, so that the meter's delay is not the reader's, and the wait of the server's own process is not in it. Change: a gap counts up to three times the usual one, and a server without gaps starts from its service's median.

--- a/spokebackend/attempt.go
+++ b/spokebackend/attempt.go
@@ -83,7 +83,7 @@
 	if first {
 		a.finishPrefill()
 	} else {
-		a.server.recordGap(now-a.lastTokenAt, now)
+		a.server.recordGap(now-a.lastTokenAt, r.medianGap(a.instance.Service), now)
 	}
 	a.lastTokenAt = now
 }
@@ -95,7 +95,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	a.server.recordGap(now-a.lastTokenAt, now)
+	a.server.recordGap(now-a.lastTokenAt, r.medianGap(a.instance.Service), now)
 }
 
 // Slowness returns the ratio of the server's average time between tokens to the
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -47,6 +47,9 @@
 const (
 	// gapWeight is the weight of a new token gap in the moving average.
 	gapWeight = 0.3
+	// maxGapRatio is the ratio to the usual gap up to which a single gap counts. A longer one may be due to this process waiting for the processor;
+	// a server that has slowed down has several in a row.
+	maxGapRatio = 3
 	// slownessHalfLife is the time without a token in which slowness halves.
 	slownessHalfLife  = 2 * spokeclock.Second
 	initialSuspension = 500 * spokeclock.Millis(1)
@@ -150,14 +153,22 @@
 	s.suspendedUntil = 0
 }
 
-// recordGap updates the moving average with the time between two tokens.
-func (s *server) recordGap(gap, now spokeclock.Millis) {
+// recordGap updates the moving average with the time between two tokens. Before
+// the first gap, the average is the median of the server's service, which is
+// zero if it is not known. A single gap counts up to maxGapRatio times the
+// average or the median.
+func (s *server) recordGap(gap spokeclock.Millis, median float64, now spokeclock.Millis) {
+	average := s.averageGap
 	if s.gapUpdatedAt == 0 {
-		s.averageGap = float64(gap)
-	} else {
-		s.averageGap = (1-gapWeight)*s.averageGap + gapWeight*float64(gap)
+		average = median
 	}
 	s.gapUpdatedAt = now
+	usual := max(average, median)
+	if usual == 0 {
+		s.averageGap = float64(gap)
+		return
+	}
+	s.averageGap = (1-gapWeight)*average + gapWeight*min(float64(gap), maxGapRatio*usual)
 }
 
 // slowness returns the ratio of the server's average time between tokens to the
