core, backend, platform: leave servers that say so, and pause those that ask

A server that leaves says so in all its answers, and one that turns a request away with 503 may ask for no requests for a time. Nothing in the code knew either. A leaving server is removed like any other, by its generation, and peers are told; one of the same name that started later is not barred, also not by a peer's late message. A removal that comes before the list has the server is remembered. A paused server is no candidate, not even when no other is left; the caller is then refused at once with the time of the first that resumes. Peers are not told of pauses.

--- a/spokebackend/attempt.go
+++ b/spokebackend/attempt.go
@@ -20,7 +20,7 @@
 
 // BeginAttempt counts an attempt at a server. RemovalFunc is called from
 // another goroutine when the server is marked for removal. BeginAttempt returns
-// false if the server is not in the registry or is draining.
+// false if the server is not in the registry or gets no new requests.
 func (r *Registry) BeginAttempt(name string, longAnswer bool, removalFunc func(Removal)) (*Attempt, bool) {
 	a, begun := r.beginAttempt(name, longAnswer, removalFunc)
 	if begun && longAnswer {
@@ -39,7 +39,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, found := r.servers[name]
-	if !found || r.isDraining(s) {
+	if !found || r.isClosed(s, r.Clock.Now()) {
 		return nil, false
 	}
 	s.inFlight++
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -180,14 +180,22 @@
 	}
 }
 
-// recordRemoval stores the mark and returns the callbacks to call.
+// recordRemoval stores the mark and returns the callbacks to call. It remembers
+// the removal of a server that is not listed yet, as lists lag behind.
 func (r *Registry) recordRemoval(name string, removal Removal) []func(Removal) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.initialise()
 	s, found := r.servers[name]
+	if !found && removal.Generation != 0 {
+		r.removed[name] = removedServer{generation: max(removal.Generation, r.removed[name].generation), removedAt: r.Clock.Now()}
+	}
 	if !found || s.removalSource == removal.Source {
 		return nil
 	}
+	if removal.Generation != 0 && removal.Generation != s.instance.Generation {
+		return nil
+	}
 	if s.removalSource != "" && !s.removalSource.isOperatorMark() {
 		return nil
 	}
@@ -214,22 +222,55 @@
 	}
 }
 
-// Removals returns the time until each server that is being removed is gone,
-// by name, to be sent to peers. It omits operators' marks, which every entry
-// instance receives itself.
-func (r *Registry) Removals() map[string]spokeclock.Millis {
+// Removals returns the servers that are being removed or were, by name, to be
+// sent to peers, without the sources. It omits operators' marks, which every
+// entry instance receives itself.
+func (r *Registry) Removals() map[string]Removal {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	removals := make(map[string]spokeclock.Millis)
+	removals := make(map[string]Removal)
+	for name, removed := range r.removed {
+		if removed.generation != 0 {
+			removals[name] = Removal{Remaining: 1, Generation: removed.generation}
+		}
+	}
 	for name, s := range r.servers {
 		if s.removalSource != "" && !s.removalSource.isOperatorMark() {
-			removals[name] = max(1, s.expectedGoneAt-now)
+			removals[name] = Removal{Remaining: max(1, s.expectedGoneAt-now), Generation: s.instance.Generation}
 		}
 	}
 	return removals
 }
 
+// PauseServer keeps new requests away from a server for a time that it has asked
+// for. A shorter time does not end an earlier pause.
+func (r *Registry) PauseServer(name string, generation int64, pause spokeclock.Millis) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if s, found := r.servers[name]; found && s.instance.Generation == generation {
+		s.pausedUntil = max(s.pausedUntil, r.Clock.Now()+pause)
+	}
+}
+
+// NextResume returns the time until the first paused server of a service gets
+// requests again, or zero if none is paused.
+func (r *Registry) NextResume(service string) spokeclock.Millis {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	next := spokeclock.Millis(0)
+	for _, s := range r.servers {
+		if s.instance.Service != service || r.isDraining(s) || now >= s.pausedUntil {
+			continue
+		}
+		if next == 0 || s.pausedUntil-now < next {
+			next = s.pausedUntil - now
+		}
+	}
+	return next
+}
+
 // OperatorMarked returns the names of the servers that an operator has marked.
 func (r *Registry) OperatorMarked() []string {
 	r.mutex.Lock()
--- a/spokebackend/registry_test.go
+++ b/spokebackend/registry_test.go
@@ -76,3 +76,66 @@
 	require.True(t, begun)
 	return attempt
 }
+
+type removalStep struct {
+	// List has the generations of the listed servers, by name.
+	List map[string]int64 `yaml:"list"`
+	// Marked marks a server for removal as a peer or an answer does.
+	Marked *struct {
+		Server     string `yaml:"server"`
+		Generation int64  `yaml:"generation"`
+	} `yaml:"marked"`
+	// Open has the servers that get new requests after the step, Sent the
+	// generations of those that peers are told to be leaving.
+	Open []string         `yaml:"open"`
+	Sent map[string]int64 `yaml:"sent"`
+}
+
+type removalCase struct {
+	Name  string        `yaml:"name"`
+	Steps []removalStep `yaml:"steps"`
+}
+
+// TestRemovals checks which servers get new requests after lists and removals in
+// any order. A removal must outlast lists that lag behind and end with the next
+// start of a server of the same name.
+func TestRemovals(t *testing.T) {
+	for _, c := range spokecase.Read[[]removalCase](t, "testdata/removals.yaml") {
+		t.Run(c.Name, func(t *testing.T) { c.run(t) })
+	}
+}
+
+func (c removalCase) run(t *testing.T) {
+	var clock spokeclock.Manual
+	clock.Advance(1)
+	registry := &spokebackend.Registry{DataCentre: "a", Clock: clock.Clock(), ListIsAuthoritative: true}
+	for i, step := range c.Steps {
+		if step.List != nil {
+			var instances []spokecloud.Instance
+			for name, generation := range step.List {
+				instance := newServer(name)
+				instance.Generation = generation
+				instances = append(instances, instance)
+			}
+			registry.UpdateInstances(instances)
+		}
+		if step.Marked != nil {
+			registry.MarkForRemoval(step.Marked.Server, spokebackend.Removal{Source: spokebackend.SourcePeer, Generation: step.Marked.Generation})
+		}
+		var open []string
+		for _, candidate := range registry.Candidates("s", "") {
+			if !candidate.Draining {
+				open = append(open, candidate.Name)
+			}
+		}
+		require.ElementsMatch(t, step.Open, open, "step %d", i+1)
+		sent := make(map[string]int64)
+		for name, removal := range registry.Removals() {
+			sent[name] = removal.Generation
+		}
+		require.Len(t, sent, len(step.Sent), "step %d", i+1)
+		for name, generation := range step.Sent {
+			require.Equal(t, generation, sent[name], "step %d: %s", i+1, name)
+		}
+	}
+}
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -18,6 +18,8 @@
 	SourceNotice RemovalSource = "notice"
 	// SourcePeer is another entry instance.
 	SourcePeer RemovalSource = "peer"
+	// SourceAnswer is the server itself, in the head of an answer.
+	SourceAnswer RemovalSource = "answer"
 	// SourcePlan is the fleet plan.
 	SourcePlan RemovalSource = "plan"
 	// SourceOperatorDrain is an operator's mark that lets requests in flight
@@ -37,6 +39,9 @@
 	Source RemovalSource
 	// Remaining is the time until the server is gone. Zero means unknown.
 	Remaining spokeclock.Millis
+	// Generation is the generation of the server that is being removed. A later
+	// one of the same name is not. Zero means any.
+	Generation int64
 }
 
 // isOperatorMark reports whether an operator set the mark and can clear it.
@@ -87,6 +92,8 @@
 	gapUpdatedAt   spokeclock.Millis
 	failures       int
 	suspendedUntil spokeclock.Millis
+	// pausedUntil is until when the server has asked for no requests.
+	pausedUntil spokeclock.Millis
 	// trafficShare is the share of its normal traffic that the server gets, up
 	// to 1.
 	trafficShare   float64
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -63,7 +63,7 @@
 	return spokeroute.Candidate{
 		Name: s.instance.Name, DataCentre: s.instance.DataCentre,
 		Local:          s.instance.DataCentre == r.DataCentre,
-		Draining:       r.isDraining(s),
+		Draining:       r.isClosed(s, now),
 		Suspended:      now < s.suspendedUntil,
 		Slots:          r.slotsOf(s),
 		InFlight:       s.inFlight + peers.Requests,
@@ -84,7 +84,13 @@
 	return r.lastResponses[dataCentre]
 }
 
-// isDraining reports whether a server gets no new requests.
+// isClosed reports whether a server gets no new requests: it is draining or has
+// asked for a pause.
+func (r *Registry) isClosed(s *server, now spokeclock.Millis) bool {
+	return r.isDraining(s) || now < s.pausedUntil
+}
+
+// isDraining reports whether a server gets no new requests until it is gone.
 func (r *Registry) isDraining(s *server) bool {
 	return s.removalSource != "" || (r.ListIsAuthoritative && s.unlistedSince > 0)
 }
@@ -130,14 +136,14 @@
 }
 
 // Capacity returns the capacity of a service's live servers: those that are
-// neither draining nor suspended.
+// neither draining, paused nor suspended.
 func (r *Registry) Capacity(service string) Capacity {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
 	var c Capacity
 	for _, s := range r.servers {
-		if s.instance.Service != service || r.isDraining(s) || now < s.suspendedUntil {
+		if s.instance.Service != service || r.isClosed(s, now) || now < s.suspendedUntil {
 			continue
 		}
 		c.liveServers++
--- /dev/null
+++ b/spokecore/notice.go
@@ -0,0 +1,29 @@
+package spokecore
+
+import (
+	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
+)
+
+// ServerNotice is what a backend server says about itself in the head of an
+// answer, whatever the answer's status.
+type ServerNotice struct {
+	// Leaving is true if the server is about to be removed.
+	Leaving bool
+	// Pause is the time for which the server asks this instance for no requests.
+	// Zero means none.
+	Pause spokeclock.Millis
+}
+
+// RecordNotice applies a server's notice to the following choices. Peers learn
+// of a leaving server with the next heartbeat.
+func (c *Core) RecordNotice(server spokecloud.Instance, notice ServerNotice) {
+	if notice.Leaving {
+		c.Registry.MarkForRemoval(server.Name, spokebackend.Removal{Source: spokebackend.SourceAnswer, Generation: server.Generation})
+	}
+	if notice.Pause > 0 {
+		c.Registry.PauseServer(server.Name, server.Generation, notice.Pause)
+		c.Log.Info().Str("server", server.Name).Int64("pause_millis", int64(notice.Pause)).Msg("Backend server asked for a pause.")
+	}
+}
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -159,7 +159,7 @@
 			refusal.retryAfter = retrySoon
 		}
 	case kind == KindNoServer:
-		refusal.retryAfter = retryLater
+		refusal.retryAfter = max(retryLater, r.core.Registry.NextResume(r.request.Service.Name))
 	case refusal.notRun && lastKind == KindNotRun:
 		refusal.kind = KindOverloaded
 		refusal.retryAfter = retrySoon
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -41,7 +41,7 @@
 
 	// The state that the peer has been sent on the current connection.
 	sentInFlight  map[spokebackend.ID]spokebackend.InFlight
-	sentRemovals  map[string]struct{}
+	sentRemovals  map[string]int64
 	sentSummaries map[string]spokemember.DataCentreSummary
 	// summaryTurn counts heartbeats and so selects the unchanged summary to
 	// repeat.
@@ -115,7 +115,7 @@
 	l.sentSlots = make(map[spokebackend.ID]int)
 	l.sentCounts = make(map[string]int64)
 	l.sentInFlight = make(map[spokebackend.ID]spokebackend.InFlight)
-	l.sentRemovals = make(map[string]struct{})
+	l.sentRemovals = make(map[string]int64)
 	l.sentSummaries = make(map[string]spokemember.DataCentreSummary)
 	l.summaryTurn = rand.IntN(summaryTurnRange) //nolint:gosec // Only makes links start at different summaries.
 	return true
@@ -158,15 +158,17 @@
 // nextHeartbeat returns the next heartbeat and records its contents as sent.
 func (l *link) nextHeartbeat() Heartbeat {
 	revision := l.node.Store.Revision()
+	removals, generations := l.newRemovals()
 	return Heartbeat{
-		Revision:    revision,
-		Interval:    l.changedInterval(),
-		Draining:    l.node.draining.Load(),
-		InFlight:    l.changedInFlight(),
-		Slots:       l.changedSlots(),
-		Removals:    l.newRemovals(),
-		DataCentres: l.nextSummaries(revision),
-		Counts:      l.changedCounts(),
+		Revision:           revision,
+		Interval:           l.changedInterval(),
+		Draining:           l.node.draining.Load(),
+		InFlight:           l.changedInFlight(),
+		Slots:              l.changedSlots(),
+		Removals:           removals,
+		RemovedGenerations: generations,
+		DataCentres:        l.nextSummaries(revision),
+		Counts:             l.changedCounts(),
 	}
 }
 
@@ -233,16 +235,22 @@
 }
 
 // newRemovals returns the servers that have been marked for removal since the
-// last heartbeat, with the time until they are gone.
-func (l *link) newRemovals() map[string]spokeclock.Millis {
+// last heartbeat, with the time until they are gone and their generations, where
+// known.
+func (l *link) newRemovals() (map[string]spokeclock.Millis, map[string]int64) {
 	removals := make(map[string]spokeclock.Millis)
-	for name, remaining := range l.node.Registry.Removals() {
-		if _, sent := l.sentRemovals[name]; !sent {
-			removals[name] = remaining
-			l.sentRemovals[name] = struct{}{}
+	generations := make(map[string]int64)
+	for name, removal := range l.node.Registry.Removals() {
+		if generation, sent := l.sentRemovals[name]; sent && generation == removal.Generation {
+			continue
+		}
+		l.sentRemovals[name] = removal.Generation
+		removals[name] = removal.Remaining
+		if removal.Generation != 0 {
+			generations[name] = removal.Generation
 		}
 	}
-	return removals
+	return removals, generations
 }
 
 // nextSummaries returns the data-centre summaries to send: that of this data
--- a/spokepeer/message.go
+++ b/spokepeer/message.go
@@ -43,6 +43,9 @@
 	// Removals has, by name, the time until each backend server that is being
 	// removed is gone.
 	Removals map[string]spokeclock.Millis `json:"leaving,omitempty"`
+	// RemovedGenerations has the generations of the servers in Removals, where
+	// known.
+	RemovedGenerations map[string]int64 `json:"leaving_generations,omitempty"`
 	// DataCentres are the changed summaries and some unchanged ones.
 	DataCentres []spokemember.DataCentreSummary `json:"places,omitempty"`
 	// Counts has the sender's own counters, where changed.
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -79,7 +79,7 @@
 		n.Registry.SetPeerSlots(id, slots.Requests)
 	}
 	for name, remaining := range h.Removals {
-		n.Registry.MarkForRemoval(name, spokebackend.Removal{Source: spokebackend.SourcePeer, Remaining: remaining})
+		n.Registry.MarkForRemoval(name, spokebackend.Removal{Source: spokebackend.SourcePeer, Remaining: remaining, Generation: h.RemovedGenerations[name]})
 	}
 	if h.Revision > n.Store.Revision() {
 		go n.fetchConfig(ctx, rpc)
