core, platform: bound answers without end

Cause: bytes that are no answer may come without end, in a head or a body. A head could grow to 10 MB (net/http's default) on instances of 184 MB; an event without an end was buffered until the deadline and searched from its start after each read; a plain answer without a length was forwarded for as long as it came; comment lines counted as progress of a stalled stream. Change: heads of 64 KiB, events of 256 KiB, plain answers of 64 MiB at most; each line of an event is examined once; comments are forwarded and don't restart the measurement of a silence.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -14,6 +14,14 @@
 // until it is complete, so that an incomplete one can still be retried.
 const maxBufferedAnswer = 256 << 10
 
+const (
+	// maxAnswerBytes bounds an answer that is not an event stream, as a faulty
+	// server may send bytes without end.
+	maxAnswerBytes = 64 << 20
+	// maxEventBytes bounds one event of a stream for the same reason.
+	maxEventBytes = 256 << 10
+)
+
 // forwardAnswer forwards an answer that is not an event stream.
 func (r *requestRun) forwardAnswer(response *Response, attempt *spokebackend.Attempt) error {
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
@@ -48,8 +56,12 @@
 // forwardRemainder forwards what follows the buffered part of a long answer.
 func (r *requestRun) forwardRemainder(response *Response) error {
 	chunk := make([]byte, maxBufferedAnswer)
-	for {
+	for forwarded := maxBufferedAnswer; ; {
 		n, err := response.Body.Read(chunk)
+		forwarded += n
+		if forwarded > maxAnswerBytes {
+			return spokeerror.Newf("read answer", KindInvalidAnswer, "the answer is longer than %d bytes", maxAnswerBytes)
+		}
 		if n > 0 {
 			if err := r.callbacks.WriteBodyFunc(chunk[:n]); err != nil {
 				return spokeerror.New("write answer to caller", KindCallerGone, err)
@@ -70,9 +82,11 @@
 	isFirst := true
 	var forwardErr error
 	err := response.EventsFunc(func(event Event) error {
-		attempt.RecordToken(isFirst)
-		w.recordEvent()
-		isFirst = false
+		if !event.isComment() {
+			attempt.RecordToken(isFirst)
+			w.recordEvent()
+			isFirst = false
+		}
 		forwardErr = r.forwardEvent(response, event, w)
 		if forwardErr == nil && r.allowMoveFromSlow(attempt) {
 			cancel(errServerSlow)
@@ -134,47 +148,57 @@
 
 const eventBufferBytes = 4 << 10
 
+var errEventTooLong = errors.New("the event has no end within the limit")
+
 // eventReader splits a body into events, each with the blank line that ends it.
 type eventReader struct {
 	source   io.Reader
 	buffered []byte
-	chunk    []byte
-	readErr  error
+	// lineStart is where the first line of buffered begins that has not been
+	// examined.
+	lineStart int
+	chunk     []byte
+	readErr   error
 }
 
-// firstEventLength returns the length in bytes of the first event in a text,
+// firstEventLength returns the length in bytes of the first buffered event,
 // including the blank line that ends it, or -1 if the event is incomplete.
-func firstEventLength(text []byte) int {
-	for start := 0; ; {
-		newline := bytes.IndexByte(text[start:], '\n')
+func (e *eventReader) firstEventLength() int {
+	for {
+		newline := bytes.IndexByte(e.buffered[e.lineStart:], '\n')
 		if newline < 0 {
 			return -1
 		}
-		end := start + newline + 1
-		if start > 0 && len(bytes.TrimRight(text[start:end], "\r\n")) == 0 {
+		start, end := e.lineStart, e.lineStart+newline+1
+		if start > 0 && len(bytes.TrimRight(e.buffered[start:end], "\r\n")) == 0 {
 			return end
 		}
-		start = end
+		e.lineStart = end
 	}
 }
 
-// next returns the next event. It returns io.EOF at the end of a body that ends
-// with a complete event.
+// next returns the next event, which is valid until the next call. It returns
+// io.EOF at the end of a body that ends with a complete event, and errEventTooLong
+// for an event of more than maxEventBytes.
 func (e *eventReader) next() ([]byte, error) {
 	if e.chunk == nil {
 		e.chunk = make([]byte, eventBufferBytes)
 	}
 	for {
-		if length := firstEventLength(e.buffered); length >= 0 {
-			event := e.buffered[:length]
+		if length := e.firstEventLength(); length >= 0 {
+			event := e.buffered[:length:length]
 			e.buffered = e.buffered[length:]
+			e.lineStart = 0
 			return event, nil
 		}
+		if len(e.buffered) > maxEventBytes {
+			return nil, errEventTooLong
+		}
 		if e.readErr != nil {
 			return nil, e.finalError()
 		}
 		n, err := e.source.Read(e.chunk)
-		e.buffered = append(e.buffered[:len(e.buffered):len(e.buffered)], e.chunk[:n]...)
+		e.buffered = append(e.buffered, e.chunk[:n]...)
 		e.readErr = err
 	}
 }
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -1,6 +1,7 @@
 package spokecore
 
 import (
+	"bytes"
 	"context"
 	"io"
 
@@ -178,6 +179,17 @@
 	Raw []byte
 }
 
+// isComment reports whether the event has only comment lines, which must not make
+// a stalled stream look alive.
+func (e Event) isComment() bool {
+	for line := range bytes.Lines(e.Raw) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // Callbacks connect the core to the front for one request. They are called from
 // one goroutine.
 type Callbacks struct {
--- a/spokecore/watchdog.go
+++ b/spokecore/watchdog.go
@@ -42,6 +42,7 @@
 	silentSince spokeclock.Millis
 	awaitsFirst bool
 	paused      bool
+	pausedAt    spokeclock.Millis
 	stopped     bool
 }
 
@@ -93,14 +94,15 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.paused = true
+	w.pausedAt = w.clock.Now()
 }
 
-// resume restarts the measurement after a pause.
+// resume continues the measurement after a pause.
 func (w *watchdog) resume() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.paused = false
-	w.silentSince = w.clock.Now()
+	w.silentSince += w.clock.Now() - w.pausedAt
 }
 
 func (w *watchdog) stop() {
--- a/spokehttp/client.go
+++ b/spokehttp/client.go
@@ -15,6 +15,9 @@
 	maxIdleConnections    = 4096
 	keepAliveInterval     = 5 * time.Second
 	connectionBufferBytes = 4 << 10
+	// MaxResponseHeaderBytes bounds the head of a response, so that a server that
+	// never ends one can't exhaust the memory.
+	MaxResponseHeaderBytes = 64 << 10
 )
 
 // errNotConnected marks a failure to connect, before any byte was sent.
@@ -40,6 +43,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      connectionBufferBytes,
 		WriteBufferSize:     connectionBufferBytes,
+
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 	}
 	return &http.Client{
 		Transport: transport,
