table, lease: hold a duty through a restore of the table from an older copy

Cause: in a drill the store comes back from a copy some seconds old, and an era in its answers rises. A lease that the restore lost, or brought back, let two instances act at once and used a fencing number twice. Ruled out: numbers from the wall clock, which may be set back; numbers that only peers remember, which a cut-off instance doesn't hear. Change: rows and outcomes carry the era. A record of an earlier era is replaced at once only by the process that holds the lease by its own clock, with its number; all others wait out a term and the longest delivery. A new number grows by a million for each era since the record's, above any that was lost. Answers of an era that has ended are dropped. The stand-in takes copies and restores them. "Lease released." is no longer logged when it failed. Conclusion: duties pause for a term and a delivery at most.

--- a/spokelease/lease.go
+++ b/spokelease/lease.go
@@ -15,6 +15,9 @@
 	defaultTerm = 6 * spokeclock.Second
 	// renewalsPerTerm is the number of renewal attempts before a term expires.
 	renewalsPerTerm = 3
+	// fencesPerEra is added to the fencing number with each restore of the table. It
+	// exceeds the number of holders that a restore can make the table forget.
+	fencesPerEra = 1_000_000
 	// safetyMarginDivisor sets the safety margin to a sixth of the term. The
 	// holder stops that much earlier, before any contender can start.
 	safetyMarginDivisor = 6
@@ -35,6 +38,8 @@
 	Term spokeclock.Millis `json:"term_millis"`
 	// RenewalCount increases with every renewal, so that each one changes the row.
 	RenewalCount int64 `json:"renewal"`
+	// Era is the table's era in which the record was written.
+	Era spoketable.Era `json:"era,omitempty"`
 }
 
 // Lease lets one process contend for a duty and keep it. Set its fields before
@@ -73,6 +78,7 @@
 	heldUntil       spokeclock.Millis
 	activeFrom      spokeclock.Millis
 	observedVersion spoketable.Version
+	observedEra     spoketable.Era
 	observedAt      spokeclock.Millis
 	renewalCount    int64
 }
@@ -119,10 +125,10 @@
 	if !ok {
 		return
 	}
-	if !l.canWrite(record, rows[0].Version, started) {
+	if !l.canWrite(record, rows[0], started) {
 		return
 	}
-	l.writeRecord(ctx, record, rows[0].Version, started)
+	l.writeRecord(ctx, record, rows[0], started)
 }
 
 func (l *Lease) decodeRecord(row spoketable.Row) (Record, bool) {
@@ -138,31 +144,36 @@
 }
 
 // canWrite reports whether this process owns the lease, or the lease has been
-// released, or it has expired as observed by this process.
-func (l *Lease) canWrite(record Record, version spoketable.Version, now spokeclock.Millis) bool {
+// released, or it has expired as observed by this process. A record of an earlier
+// era may be older than the last one: only the process that owns the lease by its
+// own clock may replace it at once.
+func (l *Lease) canWrite(record Record, row spoketable.Row, now spokeclock.Millis) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if record.Holder == "" {
+	isOutdated := record.Era < row.Era
+	switch {
+	case isOutdated && l.fence > 0 && now < l.heldUntil:
 		return true
-	}
-	if record.Holder == l.Holder && record.Fence == l.fence {
+	case isOutdated:
+	case record.Holder == "", record.Holder == l.Holder && record.Fence == l.fence:
 		return true
 	}
-	if l.observedVersion != version {
-		l.observedVersion = version
+	if l.observedVersion != row.Version || l.observedEra != row.Era {
+		l.observedVersion = row.Version
+		l.observedEra = row.Era
 		l.observedAt = now
 		return false
 	}
-	return now-l.observedAt >= record.Term+l.MaxDeliveryDelay
+	return now-l.observedAt >= max(record.Term, l.Term)+l.MaxDeliveryDelay
 }
 
-func (l *Lease) writeRecord(ctx context.Context, old Record, version spoketable.Version, started spokeclock.Millis) {
-	next := l.nextRecord(old, started)
+func (l *Lease) writeRecord(ctx context.Context, old Record, row spoketable.Row, started spokeclock.Millis) {
+	next := l.nextRecord(old, row.Era, started)
 	outcome, err := l.TransactFunc(ctx, spoketable.Transaction{
-		Conditions: []spoketable.Condition{{Key: keyPrefix + l.Name, Version: version}},
+		Conditions: []spoketable.Condition{{Key: keyPrefix + l.Name, Version: row.Version}},
 		Writes:     []spoketable.Write{spoketable.EncodeWrite(keyPrefix+l.Name, next)},
 	})
-	if err != nil || !outcome.Committed {
+	if err != nil || !outcome.Committed || outcome.Era != row.Era {
 		return
 	}
 	l.mutex.Lock()
@@ -181,13 +192,14 @@
 
 // nextRecord returns the record of a renewal. If this process doesn't hold the
 // lease or its term has expired by its own clock, the record has a greater
-// fencing number.
-func (l *Lease) nextRecord(old Record, now spokeclock.Millis) Record {
+// fencing number, also than any that a restore of the table has lost.
+func (l *Lease) nextRecord(old Record, era spoketable.Era, now spokeclock.Millis) Record {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	next := Record{Holder: l.Holder, Fence: old.Fence + 1, Term: l.Term, RenewalCount: l.renewalCount + 1}
-	if old.Holder == l.Holder && old.Fence == l.fence && now < l.heldUntil {
-		next.Fence = old.Fence
+	next := Record{Holder: l.Holder, Fence: old.Fence + 1 + fencesPerEra*FencingNumber(era-old.Era), Term: l.Term, RenewalCount: l.renewalCount + 1, Era: era}
+	isHeld := old.Holder == l.Holder && old.Fence == l.fence
+	if (isHeld || old.Era < era) && l.fence > 0 && now < l.heldUntil {
+		next.Fence = l.fence
 	}
 	return next
 }
@@ -210,13 +222,17 @@
 		return
 	}
 	record, ok := l.decodeRecord(rows[0])
-	if !ok || record.Holder != l.Holder || record.Fence != fence {
+	if !ok || record.Holder != l.Holder || record.Fence != fence || record.Era != rows[0].Era {
 		return
 	}
 	record.Holder = ""
-	_, err = l.TransactFunc(ctx, spoketable.Transaction{
+	outcome, err := l.TransactFunc(ctx, spoketable.Transaction{
 		Conditions: []spoketable.Condition{{Key: keyPrefix + l.Name, Version: rows[0].Version}},
 		Writes:     []spoketable.Write{spoketable.EncodeWrite(keyPrefix+l.Name, record)},
 	})
-	l.Log.Info().Err(err).Str("lease", l.Name).Msg("Lease released.")
+	if err != nil || !outcome.Committed {
+		l.Log.Warn().Err(err).Str("lease", l.Name).Msg("Lease could not be released; it expires.")
+		return
+	}
+	l.Log.Info().Str("lease", l.Name).Msg("Lease released.")
 }
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -25,6 +25,8 @@
 		TableDown    bool                     `yaml:"table_down"`
 		TableUp      bool                     `yaml:"table_up"`
 		LoseResponse bool                     `yaml:"lose_answer"`
+		Copy         bool                     `yaml:"copy"`
+		Restore      bool                     `yaml:"restore"`
 		Act          string                   `yaml:"act"`
 		Release      string                   `yaml:"release"`
 		Held         []string                 `yaml:"held"`
@@ -54,17 +56,21 @@
 			ReadFunc: table.Read, TransactFunc: table.Transact, Clock: clock.Clock(), Name: "duty", Holder: name, Term: 6000, MaxDeliveryDelay: 2000, TakeoverDelay: c.TakeoverDelay, Log: zerolog.Nop(),
 		}
 	}
-	setFaults := func(faults spokestandin.Faults) {
-		_, err := spokehttp.PostJSON[struct{}](context.Background(), table.Client, server.URL+"/control", spokestandin.TableFaults{Faults: faults})
+	setFaults := func(faults spokestandin.TableFaults) {
+		_, err := spokehttp.PostJSON[struct{}](context.Background(), table.Client, server.URL+"/control", faults)
 		require.NoError(t, err)
 	}
+	usedFences := make(map[spokelease.FencingNumber]string)
 	for i, s := range c.Steps {
 		clock.Advance(s.Advance)
 		if s.TableDown || s.TableUp {
-			setFaults(spokestandin.Faults{Unavailable: s.TableDown})
+			setFaults(spokestandin.TableFaults{Faults: spokestandin.Faults{Unavailable: s.TableDown}})
 		}
 		if s.LoseResponse {
-			setFaults(spokestandin.Faults{AbortResponses: 1, PathPrefix: "/v1/transact"})
+			setFaults(spokestandin.TableFaults{Faults: spokestandin.Faults{AbortResponses: 1, PathPrefix: "/v1/transact"}})
+		}
+		if s.Copy || s.Restore {
+			setFaults(spokestandin.TableFaults{Copy: s.Copy, Restore: s.Restore})
 		}
 		if s.Act != "" {
 			leases[s.Act].AcquireOrRenew(context.Background())
@@ -78,6 +84,11 @@
 			if held && s.Fence > 0 {
 				require.Equal(t, s.Fence, fence, "step %d", i+1)
 			}
+			if held {
+				holder, used := usedFences[fence]
+				require.True(t, !used || holder == name, "step %d: %s and %s use fencing number %d", i+1, holder, name, fence)
+				usedFences[fence] = name
+			}
 		}
 	}
 }
--- a/spokestandin/table.go
+++ b/spokestandin/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -25,6 +26,10 @@
 	// Stale makes read and scan calls return the rows as they were when this was
 	// set.
 	Stale bool `json:"stale,omitempty"`
+	// Copy keeps a copy of the rows, and Restore replaces the rows by it. A restore
+	// begins a new era.
+	Copy    bool `json:"copy,omitempty"`
+	Restore bool `json:"restore,omitempty"`
 }
 
 // TableCounters are the totals of a table service since its start.
@@ -55,6 +60,9 @@
 	rows         map[string]spoketable.Row
 	staleRows    map[string]spoketable.Row
 	version      spoketable.Version
+	era          spoketable.Era
+	copiedRows   map[string]spoketable.Row
+	copiedAt     spoketable.Version
 	counters     TableCounters
 	readLimiter  *rate.Limiter
 	writeLimiter *rate.Limiter
@@ -90,12 +98,15 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.staleRows = nil
-	if !faults.Stale {
-		return
+	if faults.Stale {
+		t.staleRows = maps.Clone(t.rows)
+	}
+	if faults.Copy {
+		t.copiedRows, t.copiedAt = maps.Clone(t.rows), t.version
 	}
-	t.staleRows = make(map[string]spoketable.Row, len(t.rows))
-	for key, row := range t.rows {
-		t.staleRows[key] = row
+	if faults.Restore {
+		t.rows, t.version = maps.Clone(t.copiedRows), t.copiedAt
+		t.era++
 	}
 }
 
@@ -138,6 +149,7 @@
 		if !ok {
 			row = spoketable.Row{Key: key}
 		}
+		row.Era = t.era
 		result.Rows = append(result.Rows, row)
 	}
 	return result, nil
@@ -152,6 +164,7 @@
 	var result spoketable.Rows
 	for key, row := range t.visibleRows() {
 		if strings.HasPrefix(key, request.Prefix) && key > request.After {
+			row.Era = t.era
 			result.Rows = append(result.Rows, row)
 		}
 	}
@@ -169,11 +182,12 @@
 	if err := t.admitCall(t.writeLimiter, &t.counters.Transactions); err != nil {
 		return spoketable.Outcome{}, err
 	}
-	var outcome spoketable.Outcome
+	outcome := spoketable.Outcome{Era: t.era}
 	for _, condition := range request.Conditions {
 		row := t.rows[condition.Key]
 		if row.Version != condition.Version {
 			row.Key = condition.Key
+			row.Era = t.era
 			outcome.Conflicts = append(outcome.Conflicts, row)
 		}
 	}
--- a/spoketable/message.go
+++ b/spoketable/message.go
@@ -2,10 +2,15 @@
 
 import "encoding/json"
 
-// Version identifies a change of a row. It never repeats within a table. Zero
-// means that the row doesn't exist.
+// Version identifies a change of a row. It never repeats within one era of a
+// table. Zero means that the row doesn't exist.
 type Version int64
 
+// Era counts how often a table was restored from an older copy. With each restore,
+// what was written after the copy is lost, and its versions are assigned again.
+// Zero means that the table doesn't tell.
+type Era int64
+
 // Row is a row as the table service returns it.
 type Row struct {
 	// Key is the key of the row.
@@ -15,6 +20,8 @@
 	// Version is the version of the last change. It is zero if the row doesn't
 	// exist.
 	Version Version `json:"version"`
+	// Era is the table's era at the time of the read.
+	Era Era `json:"era,omitempty"`
 }
 
 // Condition requires a row to have a certain version.
@@ -47,6 +54,8 @@
 	Committed bool `json:"committed"`
 	// Version is the new version of all written rows.
 	Version Version `json:"version"`
+	// Era is the table's era at the time of the transaction.
+	Era Era `json:"era,omitempty"`
 	// Conflicts are the rows whose condition was not met, in their current
 	// version.
 	Conflicts []Row `json:"conflicts,omitempty"`
--- a/spoketable/table.go
+++ b/spoketable/table.go
@@ -38,6 +38,8 @@
 	Client *http.Client
 	// Timeout bounds each call. Zero means one second.
 	Timeout spokeclock.Millis
+
+	eras EraTracker
 }
 
 // Read returns the rows of the keys, in the order of the keys. It returns an
@@ -51,6 +53,11 @@
 	if len(rows.Rows) != len(keys) {
 		return nil, spokeerror.Newf("read table", KindMalformed, "response has %d rows for %d keys", len(rows.Rows), len(keys))
 	}
+	for _, row := range rows.Rows {
+		if !t.eras.Observe(row.Era) {
+			return nil, spokeerror.Newf("read table", KindUnavailable, "the response is of era %d, before a restore of the table", row.Era)
+		}
+	}
 	return rows.Rows, nil
 }
 
@@ -88,6 +95,9 @@
 // kind KindOutcomeUnknown if the transaction may have been committed.
 func (t *Table) Transact(ctx context.Context, transaction Transaction) (Outcome, error) {
 	outcome, err := call[Outcome](ctx, t, "/v1/transact", transaction)
+	if err == nil && !t.eras.Observe(outcome.Era) {
+		return Outcome{}, spokeerror.Newf("write table", KindOutcomeUnknown, "the response is of era %d, before a restore of the table", outcome.Era)
+	}
 	if err == nil {
 		return outcome, nil
 	}
