feed, usage, backend, platform: keep what is in force when the store is restored

Cause: the platform's store may come back from a copy some seconds old. Versions go back and are assigned again, and the era in its answers rises. A follower kept the larger version and so missed everything that was written again under the same numbers; a server that had left was in use again; a started instance took a configuration that was no longer in force; usage could be reported with other counts; members' rows were gone for good. Ruled out: to rely on the answer 410 alone, as it doesn't come once versions have caught up; to compare versions of rows, which mean nothing across eras. The reporter remembers what it has stored and tells peers the newest window, so that a successor doesn't contradict a lost report. A link counts as checked only once a newer configuration was fetched.

--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -103,13 +103,16 @@
 	r.lastResponses = make(map[string]spokeclock.Millis)
 }
 
-// addOrUpdate adds or updates a listed server. It returns nil if this
-// generation of the server has been removed already.
+// addOrUpdate adds or updates a listed server. It returns nil if this generation
+// of the server has been removed already, or has been replaced by a later one.
 func (r *Registry) addOrUpdate(instance spokecloud.Instance) *server {
 	if removed, found := r.removed[instance.Name]; found && instance.Generation <= removed.generation {
 		return nil
 	}
 	s, found := r.servers[instance.Name]
+	if found && instance.Generation < s.instance.Generation {
+		return nil
+	}
 	if !found || instance.Generation > s.instance.Generation {
 		s = &server{trafficShare: 1}
 		r.servers[instance.Name] = s
--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -42,10 +42,24 @@
 	// probeWait is the wait of a poll that only checks whether the table
 	// answers.
 	probeWait    = spokeclock.Millis(1)
+	// defaultReturnDelay is the delay of a row that a restore of the table has
+	// brought back if Follower.ReturnDelay is zero.
+	defaultReturnDelay = 5 * spokeclock.Second
+	// removedRetention is how long a removed row is remembered. A table is restored
+	// from a copy that is only seconds old.
+	removedRetention = 60 * spokeclock.Second
 	initialRetry = 100 * spokeclock.Millis(1)
 	maxRetry     = spokeclock.Second
 )
 
+// Position is a place in the history of a table.
+type Position struct {
+	// Era is the table's era. Versions of different eras can't be compared.
+	Era spoketable.Era
+	// Version is the version of the last change.
+	Version spoketable.Version
+}
+
 // Change is the new state of a row.
 type Change struct {
 	// Row is the row. It has no value if it was removed.
@@ -58,12 +72,13 @@
 type Follower struct {
 	// TableName is the name of the table in log messages.
 	TableName string
-	// ReadAllFunc reads the whole table and its version.
-	ReadAllFunc func(ctx context.Context) ([]spoketable.Row, spoketable.Version, error)
-	// ChangesFunc returns the changes after a version and the version that they
-	// lead to. It waits until there are changes or the wait has passed. Its
-	// errors are of KindHistoryLost or KindUnavailable.
-	ChangesFunc func(ctx context.Context, after spoketable.Version, wait spokeclock.Millis) ([]Change, spoketable.Version, error)
+	// ReadAllFunc reads the whole table and its position.
+	ReadAllFunc func(ctx context.Context) ([]spoketable.Row, Position, error)
+	// ChangesFunc returns the changes after a position and the position that they
+	// lead to. It waits until there are changes, the wait has passed or the era has
+	// ended. Its errors are of KindHistoryLost, also if the era has ended, or
+	// KindUnavailable.
+	ChangesFunc func(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error)
 	// RowsChangedFunc is called with the whole copy, by key, after each change.
 	// It must not keep the map.
 	RowsChangedFunc func(rows map[string]spoketable.Row)
@@ -74,13 +89,18 @@
 	MaxWait spokeclock.Millis
 	// RowsExpire is whether rows can expire during an outage of the table.
 	RowsExpire bool
+	// ReturnDelay is how long a removed row that a restore of the table has brought
+	// back is left out unless it is written again. It is above the time after which
+	// the row of a dead owner expires. Zero means five seconds. It applies to rows
+	// that expire.
+	ReturnDelay spokeclock.Millis
 	// Clock is the time source. Nil means the system clock.
 	Clock *spokeclock.Clock
 	// Log is the logger.
 	Log zerolog.Logger
 
 	rows     map[string]spoketable.Row
-	version  spoketable.Version
+	position Position
 	loaded   bool
 	inOutage bool
 	// probing is whether the last poll got no answer.
@@ -91,6 +111,16 @@
 	// pendingRemovals is when removed rows that are kept for now are removed
 	// from the copy, by key.
 	pendingRemovals map[string]spokeclock.Millis
+	// removedAt is when rows were removed from the copy, by key.
+	removedAt map[string]spokeclock.Millis
+	// pendingReturns are rows that a restore of the table has brought back, by key.
+	pendingReturns map[string]pendingReturn
+}
+
+// pendingReturn is a removed row that is added to the copy again when it is due.
+type pendingReturn struct {
+	row spoketable.Row
+	due spokeclock.Millis
 }
 
 // Run follows the table until ctx ends.
@@ -116,6 +146,8 @@
 	if f.rows == nil {
 		f.rows = make(map[string]spoketable.Row)
 		f.pendingRemovals = make(map[string]spokeclock.Millis)
+		f.removedAt = make(map[string]spokeclock.Millis)
+		f.pendingReturns = make(map[string]pendingReturn)
 	}
 }
 
@@ -132,15 +164,15 @@
 	if !f.loaded {
 		return f.load(ctx)
 	}
-	changes, version, err := f.ChangesFunc(ctx, f.version, f.pollWait())
+	changes, position, err := f.ChangesFunc(ctx, f.position, f.pollWait())
 	switch {
 	case err == nil:
 		f.recordAnswer()
-		f.version = version
-		f.applyChanges(changes)
+		f.position = position
+		f.applyChanges(changes, f.removalDue(changes))
 		return true
 	case spokeerror.KindOf[Kind](err) == KindHistoryLost:
-		f.Log.Info().Str("table", f.TableName).Int64("version", int64(f.version)).Msg("History of changes lost, reading the whole table.")
+		f.Log.Info().Str("table", f.TableName).Int64("version", int64(f.position.Version)).Int64("era", int64(f.position.Era)).Err(err).Msg("History of changes lost, reading the whole table.")
 		f.loaded = false
 		return f.load(ctx)
 	case !f.probing:
@@ -167,31 +199,68 @@
 	for _, due := range f.pendingRemovals {
 		wait = min(wait, max(1, due-now))
 	}
+	for _, pending := range f.pendingReturns {
+		wait = min(wait, max(1, pending.due-now))
+	}
 	return wait
 }
 
 // load reads the whole table and applies its differences from the copy.
 func (f *Follower) load(ctx context.Context) bool {
-	rows, version, err := f.ReadAllFunc(ctx)
+	rows, position, err := f.ReadAllFunc(ctx)
 	if err != nil {
 		f.recordFailure(ctx, err)
 		return false
 	}
 	f.recordAnswer()
+	isRestored := position.Era > f.position.Era && f.position.Version > 0
 	f.loaded = true
-	f.version = version
+	f.position = position
 	changes := make([]Change, 0, len(rows))
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
-		changes = append(changes, Change{Row: row})
+		if !f.delayReturn(row, isRestored) {
+			changes = append(changes, Change{Row: row})
+		}
 	}
 	for key := range f.rows {
 		if !present[key] {
 			changes = append(changes, Change{Row: spoketable.Row{Key: key}, Removed: true})
 		}
 	}
-	f.applyChanges(changes)
+	for key := range f.pendingReturns {
+		if !present[key] {
+			delete(f.pendingReturns, key)
+		}
+	}
+	due := f.removalDue(changes)
+	if isRestored {
+		f.Log.Warn().Str("table", f.TableName).Int64("era", int64(position.Era)).Int("delayed", len(f.pendingReturns)).Msg("Table was restored from an older copy.")
+		due = f.Clock.Now() + outageGrace
+	}
+	f.applyChanges(changes, due)
+	return true
+}
+
+// delayReturn reports whether a row of the whole table is left out of the copy for
+// now: it was removed, and a restore of the table has brought it back. If its owner
+// lives, the row changes or outlasts ReturnDelay.
+func (f *Follower) delayReturn(row spoketable.Row, isRestored bool) bool {
+	now := f.Clock.Now()
+	pending, isPending := f.pendingReturns[row.Key]
+	if isPending && !isRestored {
+		return row.Version == pending.row.Version
+	}
+	removedAt, isRemoved := f.removedAt[row.Key]
+	if !isRestored || !f.RowsExpire || !isRemoved || now-removedAt > removedRetention {
+		return false
+	}
+	delay := f.ReturnDelay
+	if delay == 0 {
+		delay = defaultReturnDelay
+	}
+	f.pendingReturns[row.Key] = pendingReturn{row: row, due: now + delay}
 	return true
 }
 
@@ -218,44 +287,72 @@
 	f.Log.Info().Str("table", f.TableName).Int64("away_millis", int64(now-f.outageSince)).Msg("Table is available again.")
 }
 
-// applyChanges applies changes to the copy, and the pending removals that are
-// due.
-func (f *Follower) applyChanges(changes []Change) {
+// applyChanges applies changes to the copy, its removals when they are due, and
+// pending removals and returns that are due now.
+func (f *Follower) applyChanges(changes []Change, removalDue spokeclock.Millis) {
 	now := f.Clock.Now()
-	removalDue := f.removalDue(changes, now)
 	changed := false
 	for _, change := range changes {
 		key := change.Row.Key
 		delete(f.pendingRemovals, key)
+		delete(f.pendingReturns, key)
 		_, present := f.rows[key]
 		switch {
 		case !change.Removed:
 			f.rows[key] = change.Row
+			delete(f.removedAt, key)
 			changed = true
 		case !present:
 		case removalDue > now:
 			f.pendingRemovals[key] = removalDue
 		default:
-			delete(f.rows, key)
+			f.remove(key, now)
 			changed = true
 		}
 	}
+	if f.applyPending(now) || changed {
+		f.RowsChangedFunc(maps.Clone(f.rows))
+	}
+}
+
+// applyPending applies the pending removals and returns that are due, and reports
+// whether there were any.
+func (f *Follower) applyPending(now spokeclock.Millis) bool {
+	changed := false
 	for key, due := range f.pendingRemovals {
 		if now >= due {
 			delete(f.pendingRemovals, key)
-			delete(f.rows, key)
+			f.remove(key, now)
 			changed = true
 		}
 	}
-	if changed {
-		f.RowsChangedFunc(maps.Clone(f.rows))
+	for key, pending := range f.pendingReturns {
+		if now >= pending.due {
+			delete(f.pendingReturns, key)
+			delete(f.removedAt, key)
+			f.rows[key] = pending.row
+			changed = true
+		}
 	}
+	return changed
+}
+
+// remove removes a row from the copy and forgets rows removed long ago.
+func (f *Follower) remove(key string, now spokeclock.Millis) {
+	delete(f.rows, key)
+	for other, removedAt := range f.removedAt {
+		if now-removedAt > removedRetention {
+			delete(f.removedAt, other)
+		}
+	}
+	f.removedAt[key] = now
 }
 
 // removalDue returns when the removals among the changes are applied. Rows
 // removed during an outage of the table may only have expired. Rows removed
 // afterwards have not, unless many are removed at once.
-func (f *Follower) removalDue(changes []Change, now spokeclock.Millis) spokeclock.Millis {
+func (f *Follower) removalDue(changes []Change) spokeclock.Millis {
+	now := f.Clock.Now()
 	recovered := f.recovered
 	f.recovered = false
 	if !f.RowsExpire {
--- a/spokefeed/follower_test.go
+++ b/spokefeed/follower_test.go
@@ -23,6 +23,9 @@
 	Unanswered bool `yaml:"unanswered"`
 	// Down is whether the table does not answer that poll either.
 	Down bool `yaml:"down"`
+	// Restored is whether the table has been restored from an older copy since the
+	// last step.
+	Restored bool `yaml:"restored"`
 	// HistoryLost is whether the changes are no longer kept.
 	HistoryLost bool `yaml:"history_lost"`
 	// Table has the keys of the whole table, for a read of all rows.
@@ -52,34 +55,39 @@
 	var clock spokeclock.Manual
 	clock.Advance(1)
 	var current followStep
+	era := spoketable.Era(1)
 	copied := map[string]spoketable.Row{}
 	f := &spokefeed.Follower{
 		TableName: "table", RowsExpire: c.RowsExpire, Clock: clock.Clock(), Log: zerolog.Nop(),
-		ReadAllFunc: func(context.Context) ([]spoketable.Row, spoketable.Version, error) {
+		ReadAllFunc: func(context.Context) ([]spoketable.Row, spokefeed.Position, error) {
 			if current.Down || current.Unanswered {
-				return nil, 0, spokeerror.New("read", spokefeed.KindUnavailable, nil)
+				return nil, spokefeed.Position{}, spokeerror.New("read", spokefeed.KindUnavailable, nil)
 			}
-			return rowsOf(current.Table), 1, nil
+			return rowsOf(current.Table), spokefeed.Position{Era: era, Version: 1}, nil
 		},
-		ChangesFunc: func(context.Context, spoketable.Version, spokeclock.Millis) ([]spokefeed.Change, spoketable.Version, error) {
-			return current.changes()
+		ChangesFunc: func(context.Context, spokefeed.Position, spokeclock.Millis) ([]spokefeed.Change, spokefeed.Position, error) {
+			changes, err := current.changes()
+			return changes, spokefeed.Position{Era: era, Version: 2}, err
 		},
 		RowsChangedFunc: func(rows map[string]spoketable.Row) { copied = rows },
 	}
 	for i, step := range c.Steps {
 		current = step
+		if step.Restored {
+			era++
+		}
 		clock.Advance(step.Advance)
 		require.Equal(t, !step.Down, f.Poll(context.Background()), "step %d", i+1)
 		require.ElementsMatch(t, step.Want, slices.Collect(maps.Keys(copied)), "step %d", i+1)
 	}
 }
 
-func (s followStep) changes() ([]spokefeed.Change, spoketable.Version, error) {
+func (s followStep) changes() ([]spokefeed.Change, error) {
 	switch {
 	case s.Down, s.Unanswered:
-		return nil, 0, spokeerror.New("read", spokefeed.KindUnavailable, nil)
-	case s.HistoryLost:
-		return nil, 0, spokeerror.New("read", spokefeed.KindHistoryLost, nil)
+		return nil, spokeerror.New("read", spokefeed.KindUnavailable, nil)
+	case s.HistoryLost, s.Restored:
+		return nil, spokeerror.New("read", spokefeed.KindHistoryLost, nil)
 	}
 	var changes []spokefeed.Change
 	for _, row := range rowsOf(s.Set) {
@@ -88,7 +96,7 @@
 	for _, row := range rowsOf(s.Removed) {
 		changes = append(changes, spokefeed.Change{Row: row, Removed: true})
 	}
-	return changes, 2, nil
+	return changes, nil
 }
 
 func rowsOf(keys []string) []spoketable.Row {
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -110,7 +110,9 @@
 	if response.Revision > l.node.Store.Revision() {
 		l.node.fetchConfig(ctx, rpc)
 	}
-	l.node.handshakeDone.Store(true)
+	if response.Revision <= l.node.Store.Revision() {
+		l.node.handshakeDone.Store(true)
+	}
 	l.sentInterval = 0
 	l.sentSlots = make(map[spokebackend.ID]int)
 	l.sentCounts = make(map[string]int64)
--- a/spokeusage/reporter.go
+++ b/spokeusage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -22,6 +23,9 @@
 	// reported.
 	maxReportAge = 30 * spokeclock.Second
 	interval     = 500 * spokeclock.Millis(1)
+	// storedWindowKey is the key of the newest window that is known to be stored,
+	// in messages to peers.
+	storedWindowKey = "usage_stored"
 )
 
 // Report is the usage of one window.
@@ -58,6 +62,55 @@
 	stored   []Report
 	sent     map[Window]bool
 	isLoaded bool
+	// remembered are all reports that this process has read or stored, as the
+	// table may be restored from an older copy.
+	remembered map[Window]Report
+	// lastStored is the newest window of which this process or a peer has stored
+	// the report.
+	lastStored atomic.Int64
+}
+
+// Counts returns the newest window that is known to be stored, to be sent to
+// peers.
+func (r *Reporter) Counts() map[string]int64 {
+	last := r.lastStored.Load()
+	if last == 0 {
+		return nil
+	}
+	return map[string]int64{storedWindowKey: last}
+}
+
+// SetPeerCounts records the newest window that a peer knows to be stored. Keys of
+// other counters are ignored.
+func (r *Reporter) SetPeerCounts(counts map[string]int64) {
+	r.recordStored(Window(counts[storedWindowKey]))
+}
+
+func (r *Reporter) recordStored(w Window) {
+	for {
+		last := r.lastStored.Load()
+		if int64(w) <= last || r.lastStored.CompareAndSwap(last, int64(w)) {
+			return
+		}
+	}
+}
+
+// remember keeps stored reports, and drops those that are no longer sent.
+func (r *Reporter) remember(reports []Report) {
+	if r.remembered == nil {
+		r.remembered = make(map[Window]Report)
+	}
+	for _, report := range reports {
+		if _, known := r.remembered[report.Window]; !known {
+			r.remembered[report.Window] = report
+		}
+		r.recordStored(report.Window)
+	}
+	for w := range r.remembered {
+		if r.Ledger.SinceEnd(w) > maxReportAge {
+			delete(r.remembered, w)
+		}
+	}
 }
 
 // Run reports until ctx ends.
@@ -104,6 +157,7 @@
 		return false
 	}
 	r.stored = stored
+	r.remember(stored)
 	return true
 }
 
@@ -123,7 +177,9 @@
 	}
 	reports := r.recent()
 	for w := first; w <= last; w++ {
-		reports = append(reports, r.report(w))
+		if report, ok := r.undecidedReport(w); ok {
+			reports = append(reports, report)
+		}
 	}
 	outcome, err := r.TransactFunc(ctx, spoketable.Transaction{
 		Conditions: []spoketable.Condition{{Key: reportsKey, Version: r.version}},
@@ -136,9 +192,25 @@
 	}
 	r.version = outcome.Version
 	r.stored = reports
+	r.remember(reports)
 	return true
 }
 
+// undecidedReport returns the report of a window that the table doesn't have. It
+// is the one that this process remembers, if a restore has removed it from the
+// table. It returns false if only a peer has stored one, whose counts are not
+// known: another report could contradict it.
+func (r *Reporter) undecidedReport(w Window) (Report, bool) {
+	if report, known := r.remembered[w]; known {
+		return report, true
+	}
+	if w <= Window(r.lastStored.Load()) {
+		r.Log.Warn().Int64("window", int64(w)).Msg("Usage report was lost with a restore of the table and is not sent again.")
+		return Report{}, false
+	}
+	return r.report(w), true
+}
+
 // recent returns the stored reports that may still be sent.
 func (r *Reporter) recent() []Report {
 	var recent []Report
--- a/spokeusage/reporter_test.go
+++ b/spokeusage/reporter_test.go
@@ -21,6 +21,7 @@
 type reportCase struct {
 	Name  string `yaml:"name"`
 	Steps []struct {
+		Note    string            `yaml:"note"`
 		Advance spokeclock.Millis `yaml:"advance_millis"`
 		// Requests has the workspaces of the requests that start, by instance.
 		Requests map[string][]string `yaml:"begin"`
@@ -30,6 +31,9 @@
 		Acquire string `yaml:"lead"`
 		// Release is the instance that releases the lease.
 		Release string `yaml:"release"`
+		// Copy takes a copy of the table, and Restore restores it.
+		Copy    bool `yaml:"copy"`
+		Restore bool `yaml:"restore"`
 		// ResponsesLost is whether the platform's responses to reports are lost.
 		ResponsesLost bool `yaml:"lost"`
 		// Sent has the windows sent in this step, counted from the script's
@@ -58,6 +62,7 @@
 // also the platform that they report to.
 type reportSimulation struct {
 	*testing.T
+	controlFunc   func(spokestandin.TableFaults)
 	clock         spokeclock.Manual
 	ledgers       map[string]*spokeusage.Ledger
 	leases        map[string]*spokelease.Lease
@@ -76,6 +81,10 @@
 		T: t, ledgers: map[string]*spokeusage.Ledger{}, leases: map[string]*spokelease.Lease{},
 		reporters: map[string]*spokeusage.Reporter{}, counts: map[int64]map[string]int64{},
 	}
+	s.controlFunc = func(faults spokestandin.TableFaults) {
+		_, err := spokehttp.PostJSON[struct{}](context.Background(), table.Client, server.URL+"/control", faults)
+		require.NoError(t, err)
+	}
 	s.clock.Advance(1)
 	for _, name := range []string{"a", "b"} {
 		s.ledgers[name] = &spokeusage.Ledger{WindowLength: windowLength, WallFunc: func() spokeclock.Millis { return firstWindow*windowLength + s.clock.Clock().Now() }}
@@ -114,6 +123,9 @@
 		s.clock.Advance(step.Advance)
 		s.responsesLost = step.ResponsesLost
 		s.sent = nil
+		if step.Copy || step.Restore {
+			s.controlFunc(spokestandin.TableFaults{Copy: step.Copy, Restore: step.Restore})
+		}
 		for name, workspaces := range step.Requests {
 			for _, workspace := range workspaces {
 				s.ledgers[name].CountRequest(workspace)
@@ -122,6 +134,7 @@
 		if step.CountsTo != "" {
 			other := map[string]string{"a": "b", "b": "a"}[step.CountsTo]
 			s.ledgers[step.CountsTo].SetPeerCounts(other, 1, s.ledgers[other].Counts())
+			s.reporters[step.CountsTo].SetPeerCounts(s.reporters[other].Counts())
 		}
 		if step.Acquire != "" {
 			s.leases[step.Acquire].AcquireOrRenew(context.Background())
