--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -41,15 +41,15 @@
 	defaultMaxWait = 3 * spokeclock.Second
 	// probeWait is the wait of a poll that only checks whether the table
 	// answers.
-	probeWait    = spokeclock.Millis(1)
+	probeWait = spokeclock.Millis(1)
 	// defaultReturnDelay is the delay of a row that a restore of the table has
 	// brought back if Follower.ReturnDelay is zero.
 	defaultReturnDelay = 5 * spokeclock.Second
 	// removedRetention is how long a removed row is remembered. A table is restored
 	// from a copy that is only seconds old.
 	removedRetention = 60 * spokeclock.Second
-	initialRetry = 100 * spokeclock.Millis(1)
-	maxRetry     = spokeclock.Second
+	initialRetry     = 100 * spokeclock.Millis(1)
+	maxRetry         = spokeclock.Second
 )
 
 // Position is a place in the history of a table.
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -19,19 +19,31 @@
 type leaseCase struct {
 	TakeoverDelay spokeclock.Millis `yaml:"quiet_millis"`
 	Name          string            `yaml:"name"`
-	Steps         []struct {
-		Note         string                   `yaml:"note"`
-		Advance      spokeclock.Millis        `yaml:"advance_millis"`
-		TableDown    bool                     `yaml:"table_down"`
-		TableUp      bool                     `yaml:"table_up"`
-		LoseResponse bool                     `yaml:"lose_answer"`
-		Copy         bool                     `yaml:"copy"`
-		Restore      bool                     `yaml:"restore"`
-		Act          string                   `yaml:"act"`
-		Release      string                   `yaml:"release"`
-		Held         []string                 `yaml:"held"`
-		Fence        spokelease.FencingNumber `yaml:"fence"`
-	} `yaml:"steps"`
+	Steps         []leaseStep       `yaml:"steps"`
+}
+
+type leaseStep struct {
+	Note         string                   `yaml:"note"`
+	Advance      spokeclock.Millis        `yaml:"advance_millis"`
+	TableDown    bool                     `yaml:"table_down"`
+	TableUp      bool                     `yaml:"table_up"`
+	LoseResponse bool                     `yaml:"lose_answer"`
+	Copy         bool                     `yaml:"copy"`
+	Restore      bool                     `yaml:"restore"`
+	Act          string                   `yaml:"act"`
+	Release      string                   `yaml:"release"`
+	Held         []string                 `yaml:"held"`
+	Fence        spokelease.FencingNumber `yaml:"fence"`
+}
+
+// faults returns the faults to set at the table, and whether there are any.
+func (s leaseStep) faults() (spokestandin.TableFaults, bool) {
+	faults := spokestandin.TableFaults{Copy: s.Copy, Restore: s.Restore}
+	faults.Unavailable = s.TableDown
+	if s.LoseResponse {
+		faults.AbortResponses, faults.PathPrefix = 1, "/v1/transact"
+	}
+	return faults, s.TableDown || s.TableUp || s.LoseResponse || s.Copy || s.Restore
 }
 
 // TestLeases runs the scripts of testdata/leases.yaml against a simulated table
@@ -63,14 +75,8 @@
 	usedFences := make(map[spokelease.FencingNumber]string)
 	for i, s := range c.Steps {
 		clock.Advance(s.Advance)
-		if s.TableDown || s.TableUp {
-			setFaults(spokestandin.TableFaults{Faults: spokestandin.Faults{Unavailable: s.TableDown}})
-		}
-		if s.LoseResponse {
-			setFaults(spokestandin.TableFaults{Faults: spokestandin.Faults{AbortResponses: 1, PathPrefix: "/v1/transact"}})
-		}
-		if s.Copy || s.Restore {
-			setFaults(spokestandin.TableFaults{Copy: s.Copy, Restore: s.Restore})
+		if faults, has := s.faults(); has {
+			setFaults(faults)
 		}
 		if s.Act != "" {
 			leases[s.Act].AcquireOrRenew(context.Background())
@@ -84,11 +90,12 @@
 			if held && s.Fence > 0 {
 				require.Equal(t, s.Fence, fence, "step %d", i+1)
 			}
-			if held {
-				holder, used := usedFences[fence]
-				require.True(t, !used || holder == name, "step %d: %s and %s use fencing number %d", i+1, holder, name, fence)
-				usedFences[fence] = name
+			if !held {
+				continue
 			}
+			holder, used := usedFences[fence]
+			require.True(t, !used || holder == name, "step %d: %s and %s use fencing number %d", i+1, holder, name, fence)
+			usedFences[fence] = name
 		}
 	}
 }
