count, peer, member, backend: sums of data centres reach all of hundreds of instances

Cause: above 160 peers an instance links to those of its data centre and to a few gateways of others. Ruled out: links between all 295, whose heartbeats would be 5.9 s apart; one collector, whose loss would blind all. Change: gateways send the sums of their data centre's counters and its requests in flight by group of servers; those who receive them pass them on inside their data centre. One origin at a time is in use, another after five seconds. The sums of a data centre act as one peer; the usage ledger takes the greater of two sums. The number of instances that share the limits comes from the summaries. Two data centres have a contender for the duties each. Usage waits for three heartbeats. Demand no longer mixes the runs of a peer (it took the counters of a new run for those of the one before).

--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -45,6 +45,9 @@
 	peerTotals map[ID]InFlight
 	// peerSlots are the slots of servers as reported by peers.
 	peerSlots map[ID]int
+	// dataCentreInFlight holds the requests in flight of other data centres whose
+	// instances are not peers, by data centre.
+	dataCentreInFlight map[string]dataCentreInFlight
 	// medianGaps are the median times between tokens, by service.
 	medianGaps map[string]cachedMedian
 	// lastResponses is when a server of each data centre last sent part of a
@@ -100,6 +103,7 @@
 	r.peerInFlight = make(map[string]map[ID]InFlight)
 	r.peerTotals = make(map[ID]InFlight)
 	r.peerSlots = make(map[ID]int)
+	r.dataCentreInFlight = make(map[string]dataCentreInFlight)
 	r.lastResponses = make(map[string]spokeclock.Millis)
 }
 
--- a/spokebackend/registry_test.go
+++ b/spokebackend/registry_test.go
@@ -139,3 +139,43 @@
 		}
 	}
 }
+
+type groupCase struct {
+	Name string `yaml:"name"`
+	// Servers are the numbers of servers by data centre. Reports are the requests in
+	// flight that other data centres tell, by group, and Age is how old they are.
+	Servers map[string]int                        `yaml:"servers"`
+	Reports map[string]map[spokebackend.Group]int `yaml:"reports"`
+	Age     spokeclock.Millis                     `yaml:"age_millis"`
+	// Want is what each server of a data centre counts as having in flight.
+	Want map[string]int `yaml:"want"`
+}
+
+// TestRemoteInFlight checks what instances of other data centres, which are not
+// peers, add to the load of servers. Without it, all servers that only they use
+// look idle and attract the requests of everyone.
+func TestRemoteInFlight(t *testing.T) {
+	for _, c := range spokecase.Read[[]groupCase](t, "testdata/groups.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			var clock spokeclock.Manual
+			clock.Advance(1)
+			registry := &spokebackend.Registry{DataCentre: "a", Clock: clock.Clock(), ListIsAuthoritative: true}
+			var instances []spokecloud.Instance
+			for dataCentre, count := range c.Servers {
+				for i := range count {
+					instance := newServer(dataCentre + string(rune('0'+i)))
+					instance.DataCentre = dataCentre
+					instances = append(instances, instance)
+				}
+			}
+			registry.UpdateInstances(instances)
+			for dataCentre, report := range c.Reports {
+				registry.SetDataCentreInFlight(dataCentre, report)
+			}
+			clock.Advance(c.Age)
+			for _, candidate := range registry.Candidates("s", "") {
+				require.Equal(t, c.Want[candidate.DataCentre], candidate.InFlight, candidate.Name)
+			}
+		})
+	}
+}
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -43,6 +43,7 @@
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
 	median := r.medianGap(service)
+	remote := r.remoteInFlight(service, now)
 	candidates := make([]spokeroute.Candidate, 0, len(r.servers))
 	for name, s := range r.servers {
 		if s.instance.Service != service {
@@ -50,6 +51,7 @@
 		}
 		candidate := r.candidate(s, median, now)
 		candidate.PrefixCached = name == prefixServer
+		candidate.InFlight += remote[groupOf(service, s.instance.DataCentre)]
 		candidates = append(candidates, candidate)
 	}
 	slices.SortFunc(candidates, func(a, b spokeroute.Candidate) int { return strings.Compare(a.Name, b.Name) })
--- a/spokefleet/demand.go
+++ b/spokefleet/demand.go
@@ -26,7 +26,13 @@
 	mutex       sync.Mutex
 	localCounts map[string]int64
 	rates       map[string]*spokerate.Rate
-	peerCounts  map[string]map[string]int64
+	peerCounts  map[string]*peerCounts
+}
+
+// peerCounts are the last counters of one run of a peer.
+type peerCounts struct {
+	generation int64
+	counts     map[string]int64
 }
 
 // AddEngineTime adds the time for which a request that has started is expected
@@ -58,26 +64,27 @@
 	return maps.Clone(d.localCounts)
 }
 
-// MergeCounts adds the changed counters of a peer to the measured work. Keys of
-// other counters are ignored.
-func (d *Demand) MergeCounts(peer string, _ int64, counts map[string]int64) {
+// MergeCounts adds the changed counters of a run of a peer to the measured work.
+// Keys of other counters are ignored.
+func (d *Demand) MergeCounts(peer string, generation int64, counts map[string]int64) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.peerCounts == nil {
-		d.peerCounts = make(map[string]map[string]int64)
+		d.peerCounts = make(map[string]*peerCounts)
 	}
-	if d.peerCounts[peer] == nil {
-		d.peerCounts[peer] = make(map[string]int64)
+	p := d.peerCounts[peer]
+	if p == nil || p.generation != generation {
+		p = &peerCounts{generation: generation, counts: make(map[string]int64)}
+		d.peerCounts[peer] = p
 	}
 	for key, count := range counts {
 		service, isWork := strings.CutPrefix(key, workPrefix)
 		if !isWork {
 			continue
 		}
-		previous, known := d.peerCounts[peer][key]
-		d.peerCounts[peer][key] = count
-		// The first count of a peer is only the basis of the next increase. So is a
-		// count below the previous one, which is from a new run of the peer.
+		previous, known := p.counts[key]
+		p.counts[key] = count
+		// The first count of a run is only the basis of the next increase.
 		if known && count > previous {
 			d.addWork(service, float64(count-previous))
 		}
--- a/spokemember/duty.go
+++ b/spokemember/duty.go
@@ -38,7 +38,7 @@
 	local := v.dutyCandidates()
 	remote := make(map[string][]Identity)
 	var targets []Identity
-	fullMesh := len(v.peers) <= v.MaxMeshPeers
+	fullMesh := v.isFullMesh()
 	for _, p := range v.peers {
 		switch {
 		case p.identity.Address == "" || (!p.listed && !p.helloReceived):
@@ -58,6 +58,16 @@
 	return targets
 }
 
+// IsFullMesh reports whether this instance links to all peers. Otherwise it links
+// to other data centres through gateways only.
+func (v *View) IsFullMesh() bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.isFullMesh()
+}
+
+func (v *View) isFullMesh() bool { return len(v.peers) <= v.MaxMeshPeers }
+
 // isGateway reports whether this instance is one of the gateways to a data
 // centre.
 func (v *View) isGateway(local []Identity, dataCentre string) bool {
@@ -93,12 +103,29 @@
 }
 
 // IsContender reports whether this instance is one of the two active instances
-// that contend for a duty of the whole deployment.
+// that contend for a duty of the whole deployment. Without links to all peers, two
+// data centres have one contender each.
 func (v *View) IsContender(duty string) bool {
+	if !v.IsFullMesh() {
+		return v.isDataCentreContender(duty) && v.OwnsDuty(duty)
+	}
 	ranked := rankByHash(duty, v.ActiveInstances())
 	return slices.ContainsFunc(ranked[:min(contenders, len(ranked))], func(i Identity) bool { return i.Name == v.Self.Name })
 }
 
+// isDataCentreContender reports whether this data centre is one of the reachable
+// ones that have a contender for a duty.
+func (v *View) isDataCentreContender(duty string) bool {
+	var dataCentres []Identity
+	for _, summary := range v.DataCentres() {
+		if summary.Reachable() {
+			dataCentres = append(dataCentres, Identity{Name: summary.DataCentre})
+		}
+	}
+	ranked := rankByHash(duty, dataCentres)
+	return slices.ContainsFunc(ranked[:min(contenders, len(ranked))], func(i Identity) bool { return i.Name == v.Self.DataCentre })
+}
+
 // OwnsDuty reports whether, in its data centre, a duty falls to this instance,
 // such as reading the load of a backend server.
 func (v *View) OwnsDuty(duty string) bool {
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -203,17 +203,28 @@
 	return identities
 }
 
-// ActiveInstanceCount returns the number of ActiveInstances.
+// ActiveInstanceCount returns the number of active instances: this one, those that
+// are linked to and not draining and, without links to all, those that the recent
+// summaries of other data centres have.
 func (v *View) ActiveInstanceCount() int {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.Clock.Now()
-	count := 1
+	count, fullMesh := 1, v.isFullMesh()
 	for _, p := range v.peers {
-		if p.live(now) && !p.draining {
+		isCounted := fullMesh || p.identity.DataCentre == v.Self.DataCentre
+		if isCounted && p.live(now) && !p.draining {
 			count++
 		}
 	}
+	if fullMesh {
+		return count
+	}
+	for _, dated := range v.summaries {
+		if now-dated.madeAt <= summaryTimeout {
+			count += dated.summary.Instances
+		}
+	}
 	return count
 }
 
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -45,10 +45,11 @@
 	sentSummaries map[string]spokemember.DataCentreSummary
 	// summaryTurn counts heartbeats and so selects the unchanged summary to
 	// repeat.
-	summaryTurn  int
-	sentInterval spokeclock.Millis
-	sentSlots    map[spokebackend.ID]int
-	sentCounts   map[string]int64
+	summaryTurn    int
+	sentInterval   spokeclock.Millis
+	sentSlots      map[spokebackend.ID]int
+	sentCounts     map[string]int64
+	sentAggregates map[aggregateKey]map[string]int64
 }
 
 // triggerHeartbeat makes the link send a heartbeat before its interval ends.
@@ -116,6 +117,7 @@
 	l.sentInterval = 0
 	l.sentSlots = make(map[spokebackend.ID]int)
 	l.sentCounts = make(map[string]int64)
+	l.sentAggregates = nil
 	l.sentInFlight = make(map[spokebackend.ID]spokebackend.InFlight)
 	l.sentRemovals = make(map[string]int64)
 	l.sentSummaries = make(map[string]spokemember.DataCentreSummary)
@@ -144,7 +146,7 @@
 // awaitNextHeartbeat waits until the next heartbeat is due or ctx ends. It
 // reports false when the connection has failed.
 func (l *link) awaitNextHeartbeat(ctx context.Context, rpc *jsonrpc2.Conn) bool {
-	timer := time.NewTimer(l.node.heartbeatInterval().Duration())
+	timer := time.NewTimer(l.node.HeartbeatInterval().Duration())
 	defer timer.Stop()
 	select {
 	case <-rpc.DisconnectNotify():
@@ -171,6 +173,7 @@
 		RemovedGenerations: generations,
 		DataCentres:        l.nextSummaries(revision),
 		Counts:             l.changedCounts(),
+		DataCentreCounts:   l.changedAggregates(),
 	}
 }
 
@@ -201,7 +204,7 @@
 // changedInterval returns the time between heartbeats, or zero if it is the
 // same as at the last heartbeat.
 func (l *link) changedInterval() spokeclock.Millis {
-	interval := l.node.heartbeatInterval()
+	interval := l.node.HeartbeatInterval()
 	if interval == l.sentInterval {
 		return 0
 	}
@@ -213,7 +216,7 @@
 // since the last heartbeat. A server that no longer has any is included with a
 // zero value.
 func (l *link) changedInFlight() InFlightByServer {
-	inFlight := InFlightByServer(l.node.Registry.LocalInFlight()).withoutOutdatedPrefill(l.node.heartbeatInterval())
+	inFlight := InFlightByServer(l.node.Registry.LocalInFlight()).withoutOutdatedPrefill(l.node.HeartbeatInterval())
 	changed := changedEntries(l.sentInFlight, inFlight)
 	for id := range l.sentInFlight {
 		if _, exists := inFlight[id]; !exists {
--- a/spokepeer/message.go
+++ b/spokepeer/message.go
@@ -50,6 +50,9 @@
 	DataCentres []spokemember.DataCentreSummary `json:"places,omitempty"`
 	// Counts has the sender's own counters, where changed.
 	Counts map[string]int64 `json:"counts,omitempty"`
+	// DataCentreCounts has the sums of other data centres or, towards those, of the
+	// sender's own.
+	DataCentreCounts []DataCentreCounts `json:"data_centre_counts,omitempty"`
 }
 
 // ConfigRequest requests the configuration changes since a revision.
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -66,6 +66,13 @@
 	// MergePeerCountsFunc is called at each heartbeat with the counters that have
 	// changed in one run of a peer. Nil ignores them.
 	MergePeerCountsFunc func(peer string, generation int64, counts map[string]int64)
+	// DataCentreCountsFunc returns the sums of the counters of this data centre's
+	// instances, and MergeDataCentreCountsFunc is called with the changed sums of
+	// another data centre. A new generation means that another instance has summed
+	// up. They are used if there are too many peers for links to all of them. Nil
+	// disables the exchange.
+	DataCentreCountsFunc      func() map[string]int64
+	MergeDataCentreCountsFunc func(dataCentre string, generation int64, counts map[string]int64)
 	// BaseInterval is the time between heartbeats on a link while there are few
 	// links. Zero means 500 ms.
 	BaseInterval spokeclock.Millis
@@ -82,6 +89,7 @@
 	fetchingConfig atomic.Bool
 	mutex          sync.Mutex
 	links          map[string]*link
+	aggregates     aggregateStore
 }
 
 // Traffic returns the counters of all links.
@@ -104,9 +112,9 @@
 	n.awaitLinks()
 }
 
-// heartbeatInterval returns the time between two heartbeats on a link. It grows
+// HeartbeatInterval returns the time between two heartbeats on a link. It grows
 // with the number of links, which bounds the heartbeats sent in a second.
-func (n *Node) heartbeatInterval() spokeclock.Millis {
+func (n *Node) HeartbeatInterval() spokeclock.Millis {
 	base := n.BaseInterval
 	if base == 0 {
 		base = defaultBaseInterval
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -75,6 +75,7 @@
 	if n.MergePeerCountsFunc != nil {
 		n.MergePeerCountsFunc(s.peer, s.peerGeneration, h.Counts)
 	}
+	n.mergeAggregates(s.peer, h.DataCentreCounts)
 	for id, slots := range h.Slots {
 		n.Registry.SetPeerSlots(id, slots.Requests)
 	}
--- a/spokeusage/ledger.go
+++ b/spokeusage/ledger.go
@@ -35,6 +35,8 @@
 	// localByKey are the local counts under the keys that peers get.
 	localByKey map[string]int64
 	peers      map[peerRun]map[Window]map[string]int64
+	// dataCentres has the sums of data centres whose instances are not peers.
+	dataCentres map[string]map[Window]map[string]int64
 }
 
 // peerRun is one run of a peer. A restarted peer has a new generation and
@@ -140,6 +142,39 @@
 	prune(l.peers[run], l.CurrentWindow())
 }
 
+// SetDataCentreCounts stores changed sums over the instances of a data centre, none
+// of which are peers. Of two sums of one window, each of which may lack an
+// instance, the greater is right.
+func (l *Ledger) SetDataCentreCounts(dataCentre string, counts map[string]int64) {
+	if l.WindowLength <= 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.dataCentres == nil {
+		l.dataCentres = make(map[string]map[Window]map[string]int64)
+	}
+	if l.dataCentres[dataCentre] == nil {
+		l.dataCentres[dataCentre] = make(map[Window]map[string]int64)
+	}
+	windows := l.dataCentres[dataCentre]
+	for key, count := range counts {
+		if w, workspace, ok := parseCountKey(key); ok {
+			setCount(windows, w, workspace, max(count, windows[w][workspace]))
+		}
+	}
+	prune(windows, l.CurrentWindow())
+}
+
+// IsCountKey reports whether a counter is one of a ledger.
+func IsCountKey(key string) bool { return strings.HasPrefix(key, countKeyPrefix) }
+
+// IsOutdatedKey reports whether a counter is of a window that is no longer kept.
+func (l *Ledger) IsOutdatedKey(key string) bool {
+	w, _, ok := parseCountKey(key)
+	return ok && w < l.CurrentWindow()-windowsKept
+}
+
 // parseCountKey is the inverse of countKey. It returns false for other keys.
 func parseCountKey(key string) (Window, string, bool) {
 	rest, hasPrefix := strings.CutPrefix(key, countKeyPrefix)
@@ -161,5 +196,10 @@
 			totals[workspace] += count
 		}
 	}
+	for _, windows := range l.dataCentres {
+		for workspace, count := range windows[w] {
+			totals[workspace] += count
+		}
+	}
 	return totals
 }
--- a/spokeusage/reporter.go
+++ b/spokeusage/reporter.go
@@ -15,10 +15,10 @@
 const (
 	// reportsKey is the key of the row with the latest stored reports.
 	reportsKey = "usage/decided"
-	// peerCountsDelay is the time after a window's end until the peers' last
-	// counts have arrived: a heartbeat interval of a large deployment and the
-	// time to send a lost heartbeat again.
-	peerCountsDelay = 2500 * spokeclock.Millis(1)
+	// minCountsDelay is the least time after a window's end until the peers' last
+	// counts have arrived: a heartbeat interval of a deployment of some instances
+	// and the time to send a lost heartbeat again.
+	minCountsDelay = 2500 * spokeclock.Millis(1)
 	// maxReportAge is the time after a window's end from which it is no longer
 	// reported.
 	maxReportAge = 30 * spokeclock.Second
@@ -53,6 +53,9 @@
 	TransactFunc func(ctx context.Context, transaction spoketable.Transaction) (spoketable.Outcome, error)
 	// SendFunc sends a report with a fencing number.
 	SendFunc func(ctx context.Context, fence spokelease.FencingNumber, report Report) error
+	// CountsDelayFunc returns the time after a window's end until the peers' last
+	// counts have arrived. Nil means the least time.
+	CountsDelayFunc func() spokeclock.Millis
 	// Log is the logger.
 	Log zerolog.Logger
 
@@ -86,6 +89,10 @@
 	r.recordStored(Window(counts[storedWindowKey]))
 }
 
+// IsStoredWindowKey reports whether a counter is the newest stored window, which
+// must not be summed up.
+func IsStoredWindowKey(key string) bool { return key == storedWindowKey }
+
 func (r *Reporter) recordStored(w Window) {
 	for {
 		last := r.lastStored.Load()
@@ -165,7 +172,7 @@
 // stored one. It returns false if the table did not accept them.
 func (r *Reporter) storeEnded(ctx context.Context) bool {
 	last := r.Ledger.CurrentWindow() - 1
-	if r.Ledger.SinceEnd(last) < peerCountsDelay {
+	if r.Ledger.SinceEnd(last) < r.countsDelay() {
 		last--
 	}
 	first := last
@@ -211,6 +218,13 @@
 	return r.report(w), true
 }
 
+func (r *Reporter) countsDelay() spokeclock.Millis {
+	if r.CountsDelayFunc == nil {
+		return minCountsDelay
+	}
+	return max(minCountsDelay, r.CountsDelayFunc())
+}
+
 // recent returns the stored reports that may still be sent.
 func (r *Reporter) recent() []Report {
 	var recent []Report
