feed, peer, platform: one instance of a data centre reads the store's tables for all

Ruled out: to hand on rows in heartbeats, which are 1.1 to 1.6 s apart where it matters; longer pauses, as servers that leave must be known in drainMs. Where it fails, an instance reads the table directly for 3 s. So a server that leaves is known within 1.5 s even if the reader is cut off silently. The rows that a relay passes on have had the reader's grace period.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -19,6 +19,9 @@
 	KindHistoryLost Kind = "history_lost"
 	// KindUnavailable means that the table did not answer.
 	KindUnavailable Kind = "unavailable"
+	// KindSourceChanged means that the table is now read in another way, so that the
+	// whole of it has to be read.
+	KindSourceChanged Kind = "source_changed"
 )
 
 const (
@@ -55,9 +58,14 @@
 // Position is a place in the history of a table.
 type Position struct {
 	// Era is the table's era. Versions of different eras can't be compared.
-	Era spoketable.Era
+	Era spoketable.Era `json:"era,omitempty"`
 	// Version is the version of the last change.
-	Version spoketable.Version
+	Version spoketable.Version `json:"version"`
+	// Relay is the peer through which the table is read, or empty. RelayGeneration
+	// and RelaySequence are then the place in its history.
+	Relay           string `json:"-"`
+	RelayGeneration int64  `json:"-"`
+	RelaySequence   int64  `json:"-"`
 }
 
 // Change is the new state of a row.
@@ -76,14 +84,17 @@
 	ReadAllFunc func(ctx context.Context) ([]spoketable.Row, Position, error)
 	// ChangesFunc returns the changes after a position and the position that they
 	// lead to. It waits until there are changes, the wait has passed or the era has
-	// ended. Its errors are of KindHistoryLost, also if the era has ended, or
-	// KindUnavailable.
+	// ended. Its errors are of KindHistoryLost, also if the era has ended,
+	// KindSourceChanged or KindUnavailable.
 	ChangesFunc func(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error)
+	// Relay, if set, passes the rows on while the table is read directly.
+	Relay *Relay
 	// RowsChangedFunc is called with the whole copy, by key, after each change.
 	// It must not keep the map.
 	RowsChangedFunc func(rows map[string]spoketable.Row)
-	// PauseFunc returns the pause between two polls. Nil means none.
-	PauseFunc func() spokeclock.Millis
+	// PauseFunc returns the pause between two polls. IsRelayed is whether the table
+	// is read through a relay. Nil means none.
+	PauseFunc func(isRelayed bool) spokeclock.Millis
 	// MaxWait is the longest wait of one poll. It bounds the time without
 	// changes when a connection dies silently. Zero means three seconds.
 	MaxWait spokeclock.Millis
@@ -155,7 +166,7 @@
 	if f.PauseFunc == nil {
 		return 0
 	}
-	return f.PauseFunc()
+	return f.PauseFunc(f.position.Relay != "")
 }
 
 // poll polls once and reports whether the table is available. It also returns
@@ -169,8 +180,17 @@
 	case err == nil:
 		f.recordAnswer()
 		f.position = position
-		f.applyChanges(changes, f.removalDue(changes))
+		due := f.Clock.Now()
+		if position.Relay == "" {
+			due = f.removalDue(changes)
+		}
+		f.applyChanges(changes, due)
+		f.confirmRelay()
 		return true
+	case spokeerror.KindOf[Kind](err) == KindSourceChanged:
+		f.Log.Debug().Str("table", f.TableName).Err(err).Msg("Reading the whole table from another source.")
+		f.loaded = false
+		return f.load(ctx)
 	case spokeerror.KindOf[Kind](err) == KindHistoryLost:
 		f.Log.Info().Str("table", f.TableName).Int64("version", int64(f.position.Version)).Int64("era", int64(f.position.Era)).Err(err).Msg("History of changes lost, reading the whole table.")
 		f.loaded = false
@@ -240,9 +260,21 @@
 		due = f.Clock.Now() + outageGrace
 	}
 	f.applyChanges(changes, due)
+	f.confirmRelay()
 	return true
 }
 
+// confirmRelay allows the relay to pass the rows on if they were read directly.
+func (f *Follower) confirmRelay() {
+	switch {
+	case f.Relay == nil:
+	case f.position.Relay == "":
+		f.Relay.confirm(f.position)
+	default:
+		f.Relay.revoke()
+	}
+}
+
 // delayReturn reports whether a row of the whole table is left out of the copy for
 // now: it was removed, and a restore of the table has brought it back. If its owner
 // lives, the row changes or outlasts ReturnDelay.
@@ -310,9 +342,14 @@
 			changed = true
 		}
 	}
-	if f.applyPending(now) || changed {
-		f.RowsChangedFunc(maps.Clone(f.rows))
+	if !f.applyPending(now) && !changed {
+		return
+	}
+	rows := maps.Clone(f.rows)
+	if f.Relay != nil {
+		f.Relay.set(rows)
 	}
+	f.RowsChangedFunc(rows)
 }
 
 // applyPending applies the pending removals and returns that are due, and reports
--- /dev/null
+++ b/spokefeed/upstream.go
@@ -0,0 +1,147 @@
+package spokefeed
+
+import (
+	"context"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spoketable"
+)
+
+const (
+	// relayMargin is how long a relay may take beyond the wait of a request.
+	relayMargin = 400 * spokeclock.Millis(1)
+	// relayRetryDelay is how long the table is read directly after a relay has
+	// failed.
+	relayRetryDelay = 3 * spokeclock.Second
+	// readerWait is the longest wait of a poll that others depend on. With it a
+	// failure of the reader or of its connection is noticed soon.
+	readerWait = 400 * spokeclock.Millis(1)
+)
+
+// Upstream reads a table through the relay of a peer, or directly. Set its fields
+// before the first call. It is used by one goroutine.
+type Upstream struct {
+	// TableName is the name of the table.
+	TableName string
+	// ReadAllFunc and ChangesFunc read the table directly, as those of Follower.
+	ReadAllFunc func(ctx context.Context) ([]spoketable.Row, Position, error)
+	ChangesFunc func(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error)
+	// ReaderFunc returns the peer that reads the table for this process. It is empty
+	// if this process reads it. IsShared is whether peers then depend on it.
+	ReaderFunc func() (peer string, isShared bool)
+	// RelayFunc sends a request to the relay of a peer.
+	RelayFunc func(ctx context.Context, peer string, request RelayRequest) (RelayUpdate, error)
+	// IsPatient is whether outdated rows do no harm, so that waits may be long.
+	IsPatient bool
+	// Clock is the time source. Nil means the system clock.
+	Clock *spokeclock.Clock
+
+	// pending is an update with all rows that has been received in place of changes.
+	pending *RelayUpdate
+	// directUntil is until when the table is read directly after a failure.
+	directUntil spokeclock.Millis
+}
+
+// reader returns the peer whose relay to use now, or "", and whether peers depend
+// on this process.
+func (u *Upstream) reader() (string, bool) {
+	peer, isShared := u.ReaderFunc()
+	if u.Clock.Now() < u.directUntil {
+		return "", isShared
+	}
+	return peer, isShared
+}
+
+// ReadAll reads the whole table. Its errors are those of Follower.ReadAllFunc.
+func (u *Upstream) ReadAll(ctx context.Context) ([]spoketable.Row, Position, error) {
+	if pending := u.pending; pending != nil {
+		u.pending = nil
+		return pending.Rows, pending.position(), nil
+	}
+	peer, _ := u.reader()
+	if peer == "" {
+		return u.ReadAllFunc(ctx)
+	}
+	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
+	if err != nil {
+		return u.ReadAllFunc(ctx)
+	}
+	return update.Rows, update.positionAt(peer), nil
+}
+
+// Changes returns the changes after a position. Its errors are those of
+// Follower.ChangesFunc, or of KindSourceChanged if the table is now read in another
+// way than at the position.
+func (u *Upstream) Changes(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error) {
+	peer, isShared := u.reader()
+	if after.Relay == "" && peer != "" && !u.joinRelay(ctx, peer) {
+		peer = ""
+	}
+	if peer != after.Relay {
+		return nil, after, spokeerror.Newf("read feed", KindSourceChanged, "table %s is now read through %q", u.TableName, peer)
+	}
+	if !u.IsPatient && (isShared || peer != "") {
+		wait = min(wait, readerWait)
+	}
+	if peer == "" {
+		return u.ChangesFunc(ctx, after, wait)
+	}
+	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName, Generation: after.RelayGeneration, Sequence: after.RelaySequence, Wait: wait})
+	if err != nil {
+		return nil, after, spokeerror.New("read feed", KindSourceChanged, err)
+	}
+	if update.IsWhole {
+		u.keep(peer, update)
+		return nil, after, spokeerror.Newf("read feed", KindSourceChanged, "the relay of %s has another history of table %s", peer, u.TableName)
+	}
+	changes := make([]Change, 0, len(update.Rows)+len(update.Removed))
+	for _, row := range update.Rows {
+		changes = append(changes, Change{Row: row})
+	}
+	for _, key := range update.Removed {
+		changes = append(changes, Change{Row: spoketable.Row{Key: key}, Removed: true})
+	}
+	return changes, update.positionAt(peer), nil
+}
+
+// joinRelay fetches all rows from a relay before the table is no longer read
+// directly. It reports whether that succeeded.
+func (u *Upstream) joinRelay(ctx context.Context, peer string) bool {
+	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
+	if err != nil {
+		return false
+	}
+	u.keep(peer, update)
+	return true
+}
+
+// keep keeps an update with all rows for the next call of ReadAll.
+func (u *Upstream) keep(peer string, update RelayUpdate) {
+	update.Position.Relay = peer
+	u.pending = &update
+}
+
+// callRelay sends a request to a relay. After a failure the table is read directly
+// for relayRetryDelay.
+func (u *Upstream) callRelay(ctx context.Context, peer string, request RelayRequest) (RelayUpdate, error) {
+	ctx, cancel := context.WithTimeout(ctx, (request.Wait + relayMargin).Duration())
+	defer cancel()
+	update, err := u.RelayFunc(ctx, peer, request)
+	if err != nil {
+		u.directUntil = u.Clock.Now() + relayRetryDelay
+	}
+	return update, err
+}
+
+func (r RelayUpdate) positionAt(peer string) Position {
+	r.Position.Relay = peer
+	return r.position()
+}
+
+// position returns the position of the update, whose Relay is set already.
+func (r RelayUpdate) position() Position {
+	position := r.Position
+	position.RelayGeneration, position.RelaySequence = r.Generation, r.Sequence
+	return position
+}
--- a/spokemember/duty.go
+++ b/spokemember/duty.go
@@ -129,7 +129,15 @@
 // OwnsDuty reports whether, in its data centre, a duty falls to this instance,
 // such as reading the load of a backend server.
 func (v *View) OwnsDuty(duty string) bool {
+	owner, _ := v.DutyOwner(duty)
+	return owner == v.Self.Name
+}
+
+// DutyOwner returns the name of the instance to which a duty falls in this data
+// centre, and the number of instances that it was chosen from.
+func (v *View) DutyOwner(duty string) (owner string, candidates int) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return rankByHash(duty, v.dutyCandidates())[0].Name == v.Self.Name
+	identities := v.dutyCandidates()
+	return rankByHash(duty, identities)[0].Name, len(identities)
 }
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -38,6 +39,8 @@
 	cancel   context.CancelFunc
 	triggers chan struct{}
 	done     chan struct{}
+	// rpc is the open connection, or nil.
+	rpc atomic.Pointer[jsonrpc2.Conn]
 
 	// The state that the peer has been sent on the current connection.
 	sentInFlight  map[spokebackend.ID]spokebackend.InFlight
@@ -93,6 +96,8 @@
 		return false
 	}
 	l.node.Log.Debug().Str("peer", peerLabel(l.target)).Msg("Peer link opened.")
+	l.rpc.Store(rpc)
+	defer l.rpc.Store(nil)
 	l.sendHeartbeats(ctx, rpc)
 	return true
 }
--- a/spokepeer/message.go
+++ b/spokepeer/message.go
@@ -13,6 +13,7 @@
 	methodGoodbye      = "goodbye"
 	methodConfigSince  = "config_since"
 	methodAttemptState = "attempt_state"
+	methodTableChanges = "table_changes"
 )
 
 // Hello is the handshake of a link, sent by both sides.
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -14,6 +14,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokefeed"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
@@ -73,6 +74,9 @@
 	// disables the exchange.
 	DataCentreCountsFunc      func() map[string]int64
 	MergeDataCentreCountsFunc func(dataCentre string, generation int64, counts map[string]int64)
+	// TableChangesFunc answers the requests of peers that read a table through this
+	// process. Nil means that none may.
+	TableChangesFunc func(ctx context.Context, request spokefeed.RelayRequest) (spokefeed.RelayUpdate, error)
 	// BaseInterval is the time between heartbeats on a link while there are few
 	// links. Zero means 500 ms.
 	BaseInterval spokeclock.Millis
@@ -180,7 +184,7 @@
 func (n *Node) serveConn(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewBufferedStream(&countingConn{Conn: conn, traffic: &n.traffic}, jsonrpc2.VarintObjectCodec{})
 	s := &session{node: n}
-	handler := jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()
+	handler := concurrentHandler{jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()}
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(&n.Log))
 	context.AfterFunc(ctx, func() { _ = rpc.Close() })
 	return rpc
@@ -254,6 +258,26 @@
 	return response.State, nil
 }
 
+// TableChanges requests the changes of a table from a peer, on the link to it. It
+// returns an error of kind KindUnreachable.
+func (n *Node) TableChanges(ctx context.Context, peer string, request spokefeed.RelayRequest) (spokefeed.RelayUpdate, error) {
+	var update spokefeed.RelayUpdate
+	n.mutex.Lock()
+	l := n.links[peer]
+	n.mutex.Unlock()
+	if l == nil {
+		return update, spokeerror.Newf("read table from peer", KindUnreachable, "there is no link to %s", peer)
+	}
+	rpc := l.rpc.Load()
+	if rpc == nil {
+		return update, spokeerror.Newf("read table from peer", KindUnreachable, "the link to %s is not open", peer)
+	}
+	if err := rpc.Call(ctx, methodTableChanges, request, &update); err != nil {
+		return update, spokeerror.New("read table from peer", KindUnreachable, err)
+	}
+	return update, nil
+}
+
 // callOnce sends one request to a peer on a connection of its own.
 func (n *Node) callOnce(ctx context.Context, identity spokemember.Identity, method string, request, response any) error {
 	dialer := net.Dialer{}
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokefeed"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 )
 
@@ -17,8 +18,22 @@
 	peerGeneration int64
 }
 
-// handle handles one request or notification. The messages of a connection are
-// handled one at a time.
+// concurrentHandler handles requests that wait in a goroutine each, and all other
+// messages of a connection one at a time.
+type concurrentHandler struct {
+	jsonrpc2.Handler
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h concurrentHandler) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if request.Method == methodTableChanges {
+		go h.Handler.Handle(ctx, rpc, request)
+		return
+	}
+	h.Handler.Handle(ctx, rpc, request)
+}
+
+// handle handles one request or notification.
 func (s *session) handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
 	switch request.Method {
 	case methodHello:
@@ -31,6 +46,8 @@
 		return handleWithParams(request, s.handleConfigSince)
 	case methodAttemptState:
 		return handleWithParams(request, s.handleAttemptState)
+	case methodTableChanges:
+		return handleWithParams(request, func(r spokefeed.RelayRequest) (any, error) { return s.handleTableChanges(ctx, r) })
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: request.Method}
 	}
@@ -104,6 +121,13 @@
 	return AttemptResponse{State: s.node.AttemptStateFunc(request.AttemptID)}, nil
 }
 
+func (s *session) handleTableChanges(ctx context.Context, request spokefeed.RelayRequest) (any, error) {
+	if s.node.TableChangesFunc == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: methodTableChanges}
+	}
+	return s.node.TableChangesFunc(ctx, request)
+}
+
 // peerLabel returns how log messages name a peer.
 func peerLabel(target spokemember.Identity) string {
 	return target.DataCentre + "/" + target.Name
