--- a/spokebackend/peers.go
+++ b/spokebackend/peers.go
@@ -14,11 +14,18 @@
 	return slots
 }
 
+// maxPeerSlots bounds the servers whose slots peers report. They are reported again
+// on new links, and other sources of the slots come first.
+const maxPeerSlots = 1 << 16
+
 // SetPeerSlots stores a server's slots as reported by a peer.
 func (r *Registry) SetPeerSlots(id ID, slots int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.initialise()
+	if len(r.peerSlots) > maxPeerSlots {
+		clear(r.peerSlots)
+	}
 	r.peerSlots[id] = slots
 }
 
--- a/spokeclaim/background.go
+++ b/spokeclaim/background.go
@@ -52,6 +52,7 @@
 	c.runInBackground(func(ctx context.Context) {
 		c.retryUntilDone(ctx, func(ctx context.Context) bool { return c.tryRelease(ctx, claim) })
 		c.setAttemptState(claim.record.AttemptID, "")
+		c.setAttemptState(claim.uncertainAttempt, "")
 	})
 }
 
@@ -84,7 +85,7 @@
 	switch {
 	case err != nil:
 		return spoketable.Write{}, false
-	case stored.AttemptID == claim.record.AttemptID:
+	case stored.AttemptID == claim.record.AttemptID, claim.uncertainAttempt != "" && stored.AttemptID == claim.uncertainAttempt:
 		return spoketable.EncodeWrite(claim.row, released), stored.State == StateClaimed
 	default:
 		return spoketable.Write{Key: claim.row, Value: row.Value}, row.Version == claim.baseVersion
--- a/spokeclaim/claims.go
+++ b/spokeclaim/claims.go
@@ -64,6 +64,9 @@
 	// new row.
 	baseVersion spoketable.Version
 	record      Record
+	// uncertainAttempt is the attempt of a reassignment that failed and may have
+	// taken effect, or empty.
+	uncertainAttempt string
 }
 
 // Record returns the claim's row as last read, acquired or reassigned.
@@ -191,6 +194,7 @@
 	r := c.claims.writer.writeRow(ctx, spoketable.Condition{Key: c.row, Version: c.version}, spoketable.EncodeWrite(c.row, next))
 	if !r.committed {
 		c.claims.setAttemptState(attemptID, StateReleased)
+		c.uncertainAttempt = attemptID
 		return spokeerror.New("reassign claim", KindLost, r.err)
 	}
 	c.claims.setAttemptState(c.record.AttemptID, "")
--- a/spokeclaim/prune.go
+++ b/spokeclaim/prune.go
@@ -22,21 +22,30 @@
 		return 0, spokeerror.New("prune claims", KindUnavailable, err)
 	}
 	var transaction spoketable.Transaction
+	var pruned []spoketable.Row
 	for _, row := range page.Rows {
 		if row.Key >= oldestKept || len(transaction.Writes) == maxPruneRows {
 			break
 		}
 		transaction.Conditions = append(transaction.Conditions, spoketable.Condition{Key: row.Key, Version: row.Version})
 		transaction.Writes = append(transaction.Writes, spoketable.Write{Key: row.Key})
-		c.deleteObject(ctx, row)
+		pruned = append(pruned, row)
 	}
 	if len(transaction.Writes) == 0 {
 		return 0, nil
 	}
-	if _, err := c.Table.Transact(ctx, transaction); err != nil {
+	outcome, err := c.Table.Transact(ctx, transaction)
+	if err != nil {
 		return 0, spokeerror.New("prune claims", KindUnavailable, err)
 	}
-	return len(transaction.Writes), nil
+	if !outcome.Committed {
+		return 0, nil
+	}
+	// A row must never name an object that is gone.
+	for _, row := range pruned {
+		c.deleteObject(ctx, row)
+	}
+	return len(pruned), nil
 }
 
 // deleteObject deletes the object with the response body of a claim, if there is
--- a/spokefleet/manager.go
+++ b/spokefleet/manager.go
@@ -242,7 +242,7 @@
 		err := engine.SendOrder(bounded, spokeengine.Order{Action: loadModelAction, Name: service, FencingNumber: int64(m.fence)})
 		cancel()
 		if err != nil {
-			m.Log.Info().Err(err).Str("server", instance.Name).Msg("Order to load the model failed.")
+			m.Log.Warn().Err(err).Str("server", instance.Name).Msg("Order to load the model failed.")
 			continue
 		}
 		m.orderedFence[instance.Name] = m.fence
--- a/spokelimit/allotment.go
+++ b/spokelimit/allotment.go
@@ -35,6 +35,9 @@
 	shareUpdateInterval = 100 * spokeclock.Millis(1)
 	// sumMaxAge is the age up to which sums over all instances are reused.
 	sumMaxAge = 20 * spokeclock.Millis(1)
+	// newPeerTimeout is the time without a second heartbeat after which a new peer
+	// counts as silent, as its interval is not known yet.
+	newPeerTimeout = 3 * spokeclock.Second
 	// silentPeerTimeout is how long a silent peer is assumed to go on spending its
 	// share. It is longer than the network partitions that callers wait out.
 	silentPeerTimeout = 15 * spokeclock.Second
@@ -272,6 +275,9 @@
 
 // isSilent reports whether the peer has missed its last heartbeats.
 func (p *peerState) isSilent(now spokeclock.Millis) bool {
+	if p.interval == 0 {
+		return now-p.lastHeardAt > newPeerTimeout
+	}
 	return now-p.lastHeardAt > countDelay+maxMissedHeartbeats*p.interval
 }
 
@@ -386,8 +392,12 @@
 		}
 		l.peers[peer] = p
 	}
-	if p.lastHeardAt > 0 {
-		p.interval = (intervalWeight*p.interval + now - p.lastHeardAt) / (intervalWeight + 1)
+	switch interval := now - p.lastHeardAt; {
+	case p.lastHeardAt == 0:
+	case p.interval == 0:
+		p.interval = interval
+	default:
+		p.interval = (intervalWeight*p.interval + interval) / (intervalWeight + 1)
 	}
 	p.lastHeardAt = now
 	for key, count := range counts {
--- a/spokelimit/limit.go
+++ b/spokelimit/limit.go
@@ -80,10 +80,14 @@
 		return Decision{exceededLimit: "concurrent_requests", retryAfter: concurrencyRetryAfter}
 	}
 	now := time.Now()
-	if wait := reserve(s.requests, now, 1); wait > 0 {
+	request, wait := reserve(s.requests, now, 1)
+	if wait > 0 {
 		return Decision{exceededLimit: "requests_per_second", retryAfter: spokeclock.FromDuration(wait) + 1}
 	}
-	if wait := reserve(s.tokens, now, tokens); wait > 0 {
+	if _, wait := reserve(s.tokens, now, tokens); wait > 0 {
+		if request != nil {
+			request.CancelAt(now)
+		}
 		return Decision{exceededLimit: "tokens_per_second", retryAfter: spokeclock.FromDuration(wait) + 1}
 	}
 	s.concurrent++
@@ -136,19 +140,19 @@
 	return old
 }
 
-// reserve removes n from a bucket and returns zero. If the bucket holds less, it
-// removes nothing and returns the time until the bucket would hold n. An n above
-// the bucket's size counts as a full bucket.
-func reserve(bucket *rate.Limiter, now time.Time, n int) time.Duration {
+// reserve removes n from a bucket and returns the reservation, nil without a
+// bucket. If the bucket holds less, it removes nothing and returns the time until
+// the bucket would hold n. An n above the bucket's size counts as a full bucket.
+func reserve(bucket *rate.Limiter, now time.Time, n int) (*rate.Reservation, time.Duration) {
 	if bucket == nil {
-		return 0
+		return nil, 0
 	}
 	reservation := bucket.ReserveN(now, min(n, bucket.Burst()))
 	wait := reservation.DelayFrom(now)
 	if wait > 0 {
 		reservation.CancelAt(now)
 	}
-	return wait
+	return reservation, wait
 }
 
 // perInstance divides a limit among instances. It rounds up so that no instance
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -100,7 +100,6 @@
 func (v *View) ensurePeer(name string) *peer {
 	if v.peers == nil {
 		v.peers = make(map[string]*peer)
-		v.summaries = make(map[string]datedSummary)
 	}
 	p, exists := v.peers[name]
 	if !exists {
--- a/spokeobject/store.go
+++ b/spokeobject/store.go
@@ -82,10 +82,13 @@
 		return nil, spokeerror.New(operation, KindUnavailable, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxObjectBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxObjectBytes+1))
 	if err != nil {
 		return nil, spokeerror.New(operation, KindUnavailable, err)
 	}
+	if len(body) > maxObjectBytes {
+		return nil, spokeerror.Newf(operation, KindUnavailable, "%s is longer than %d bytes", name, maxObjectBytes)
+	}
 	if response.StatusCode == http.StatusNotFound {
 		return nil, spokeerror.Newf(operation, KindNotFound, "%s", name)
 	}
--- a/spokeusage/ledger.go
+++ b/spokeusage/ledger.go
@@ -139,7 +139,12 @@
 			setCount(l.peers[run], w, workspace, count)
 		}
 	}
-	prune(l.peers[run], l.CurrentWindow())
+	for other, windows := range l.peers {
+		prune(windows, l.CurrentWindow())
+		if len(windows) == 0 && other != run {
+			delete(l.peers, other)
+		}
+	}
 }
 
 // SetDataCentreCounts stores changed sums over the instances of a data centre, none
