--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -27,6 +27,8 @@
 	KindUnreachable Kind = "unreachable"
 	// KindUnknownPeer means that no peer has the given name.
 	KindUnknownPeer Kind = "unknown_peer"
+	// KindMalformed means that a message could not be read.
+	KindMalformed Kind = "malformed"
 )
 
 const (
@@ -182,7 +184,7 @@
 // serveConn handles the messages of a connection in the background until it or
 // ctx ends.
 func (n *Node) serveConn(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(&countingConn{Conn: conn, traffic: &n.traffic}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&countingConn{Conn: conn, traffic: &n.traffic}, boundedCodec{})
 	s := &session{node: n}
 	handler := concurrentHandler{jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()}
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(&n.Log))
