--- a/spokepeer/codec.go
+++ b/spokepeer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -15,6 +16,9 @@
 // rows of whole tables.
 const maxMessageBytes = 16 << 20
 
+// initialMessageBytes bounds what is reserved for a message before it arrives.
+const initialMessageBytes = 64 << 10
+
 // boundedCodec refuses messages that are longer than maxMessageBytes, so that a
 // malformed length can't exhaust the memory.
 type boundedCodec struct {
@@ -30,5 +34,10 @@
 	if length > maxMessageBytes {
 		return spokeerror.Newf("read message", KindMalformed, "the message has %d bytes, more than %d", length, maxMessageBytes)
 	}
-	return json.NewDecoder(io.LimitReader(stream, int64(length))).Decode(v)
+	var text bytes.Buffer
+	text.Grow(min(int(length), initialMessageBytes))
+	if _, err := io.CopyN(&text, stream, int64(length)); err != nil {
+		return err
+	}
+	return json.Unmarshal(text.Bytes(), v)
 }
--- a/spokeusage/ledger.go
+++ b/spokeusage/ledger.go
@@ -35,6 +35,8 @@
 	// localByKey are the local counts under the keys that peers get.
 	localByKey map[string]int64
 	peers      map[peerRun]map[Window]map[string]int64
+	// peersPrunedIn is the window in which peers was last pruned.
+	peersPrunedIn Window
 	// dataCentres has the sums of data centres whose instances are not peers.
 	dataCentres map[string]map[Window]map[string]int64
 }
@@ -139,10 +141,21 @@
 			setCount(l.peers[run], w, workspace, count)
 		}
 	}
-	for other, windows := range l.peers {
-		prune(windows, l.CurrentWindow())
-		if len(windows) == 0 && other != run {
-			delete(l.peers, other)
+	l.prunePeers()
+}
+
+// prunePeers drops old windows, once in each window, and the runs of peers that have
+// none left.
+func (l *Ledger) prunePeers() {
+	current := l.CurrentWindow()
+	if current == l.peersPrunedIn {
+		return
+	}
+	l.peersPrunedIn = current
+	for run, windows := range l.peers {
+		prune(windows, current)
+		if len(windows) == 0 {
+			delete(l.peers, run)
 		}
 	}
 }
