feed, peer, platform: fewer messages among hundreds of instances

Ruled out: a larger garbage collection target, as memory is dear on some deployments. Change: where news come through gateways, heartbeats are half as far apart again; usage counts of other data centres are passed on only where a contender for the duty is. Tests: TestSharedReader and TestStoreRestored as before. Conclusion: to be measured at full size.

--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -9,14 +9,10 @@
 )
 
 const (
-	// relayMargin is how long a relay may take beyond the wait of a request.
-	relayMargin = 400 * spokeclock.Millis(1)
-	// relayRetryDelay is how long the table is read directly after a relay has
-	// failed.
+	// RelayMargin is how long a relay may take beyond the wait of a request.
+	RelayMargin = 400 * spokeclock.Millis(1)
+	// relayRetryDelay is how long a relay is not used after it has failed.
 	relayRetryDelay = 3 * spokeclock.Second
-	// readerWait is the longest wait of a poll that others depend on. With it a
-	// failure of the reader or of its connection is noticed soon.
-	readerWait = 400 * spokeclock.Millis(1)
 )
 
 // Upstream reads a table through the relay of a peer, or directly. Set its fields
@@ -27,30 +23,35 @@
 	// ReadAllFunc and ChangesFunc read the table directly, as those of Follower.
 	ReadAllFunc func(ctx context.Context) ([]spoketable.Row, Position, error)
 	ChangesFunc func(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error)
-	// ReaderFunc returns the peer that reads the table for this process. It is empty
-	// if this process reads it. IsShared is whether peers then depend on it.
-	ReaderFunc func() (peer string, isShared bool)
+	// ReadersFunc returns the peers that may read the table for this process, the next
+	// one if all before it fail. Without any, this process reads it. IsShared is whether
+	// peers may depend on it.
+	ReadersFunc func() (peers []string, isShared bool)
 	// RelayFunc sends a request to the relay of a peer.
 	RelayFunc func(ctx context.Context, peer string, request RelayRequest) (RelayUpdate, error)
-	// IsPatient is whether outdated rows do no harm, so that waits may be long.
-	IsPatient bool
+	// MaxWait is the longest wait of a poll through a relay, and of one that others
+	// depend on, so that a failure of the reader is noticed soon.
+	MaxWait spokeclock.Millis
 	// Clock is the time source. Nil means the system clock.
 	Clock *spokeclock.Clock
 
 	// pending is an update with all rows that has been received in place of changes.
 	pending *RelayUpdate
-	// directUntil is until when the table is read directly after a failure.
-	directUntil spokeclock.Millis
+	// failedUntil is until when a relay is not used after it has failed, by peer.
+	failedUntil map[string]spokeclock.Millis
 }
 
 // reader returns the peer whose relay to use now, or "", and whether peers depend
 // on this process.
 func (u *Upstream) reader() (string, bool) {
-	peer, isShared := u.ReaderFunc()
-	if u.Clock.Now() < u.directUntil {
-		return "", isShared
+	peers, isShared := u.ReadersFunc()
+	now := u.Clock.Now()
+	for _, peer := range peers {
+		if now >= u.failedUntil[peer] {
+			return peer, isShared
+		}
 	}
-	return peer, isShared
+	return "", isShared
 }
 
 // ReadAll reads the whole table. Its errors are those of Follower.ReadAllFunc.
@@ -59,15 +60,13 @@
 		u.pending = nil
 		return pending.Rows, pending.position(), nil
 	}
-	peer, _ := u.reader()
-	if peer == "" {
-		return u.ReadAllFunc(ctx)
-	}
-	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
-	if err != nil {
-		return u.ReadAllFunc(ctx)
+	for peer, _ := u.reader(); peer != ""; peer, _ = u.reader() {
+		update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
+		if err == nil {
+			return update.Rows, update.positionAt(peer), nil
+		}
 	}
-	return update.Rows, update.positionAt(peer), nil
+	return u.ReadAllFunc(ctx)
 }
 
 // Changes returns the changes after a position. Its errors are those of
@@ -81,8 +80,8 @@
 	if peer != after.Relay {
 		return nil, after, spokeerror.Newf("read feed", KindSourceChanged, "table %s is now read through %q", u.TableName, peer)
 	}
-	if !u.IsPatient && (isShared || peer != "") {
-		wait = min(wait, readerWait)
+	if isShared || peer != "" {
+		wait = min(wait, u.MaxWait)
 	}
 	if peer == "" {
 		return u.ChangesFunc(ctx, after, wait)
@@ -122,14 +121,17 @@
 	u.pending = &update
 }
 
-// callRelay sends a request to a relay. After a failure the table is read directly
-// for relayRetryDelay.
+// callRelay sends a request to a relay. After a failure the relay is not used for
+// relayRetryDelay.
 func (u *Upstream) callRelay(ctx context.Context, peer string, request RelayRequest) (RelayUpdate, error) {
-	ctx, cancel := context.WithTimeout(ctx, (request.Wait + relayMargin).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (request.Wait + RelayMargin).Duration())
 	defer cancel()
 	update, err := u.RelayFunc(ctx, peer, request)
 	if err != nil {
-		u.directUntil = u.Clock.Now() + relayRetryDelay
+		if u.failedUntil == nil {
+			u.failedUntil = make(map[string]spokeclock.Millis)
+		}
+		u.failedUntil[peer] = u.Clock.Now() + relayRetryDelay
 	}
 	return update, err
 }
--- a/spokemember/duty.go
+++ b/spokemember/duty.go
@@ -107,15 +107,15 @@
 // data centres have one contender each.
 func (v *View) IsContender(duty string) bool {
 	if !v.IsFullMesh() {
-		return v.isDataCentreContender(duty) && v.OwnsDuty(duty)
+		return v.IsDataCentreContender(duty) && v.OwnsDuty(duty)
 	}
 	ranked := rankByHash(duty, v.ActiveInstances())
 	return slices.ContainsFunc(ranked[:min(contenders, len(ranked))], func(i Identity) bool { return i.Name == v.Self.Name })
 }
 
-// isDataCentreContender reports whether this data centre is one of the reachable
-// ones that have a contender for a duty.
-func (v *View) isDataCentreContender(duty string) bool {
+// IsDataCentreContender reports whether this data centre is one of the reachable
+// ones that have a contender for a duty if there are no links to all peers.
+func (v *View) IsDataCentreContender(duty string) bool {
 	var dataCentres []Identity
 	for _, summary := range v.DataCentres() {
 		if summary.Reachable() {
@@ -129,15 +129,18 @@
 // OwnsDuty reports whether, in its data centre, a duty falls to this instance,
 // such as reading the load of a backend server.
 func (v *View) OwnsDuty(duty string) bool {
-	owner, _ := v.DutyOwner(duty)
-	return owner == v.Self.Name
+	return v.DutyOwners(duty)[0] == v.Self.Name
 }
 
-// DutyOwner returns the name of the instance to which a duty falls in this data
-// centre, and the number of instances that it was chosen from.
-func (v *View) DutyOwner(duty string) (owner string, candidates int) {
+// DutyOwners returns the names of the instances of this data centre to which a duty
+// falls, the next one if all before it fail.
+func (v *View) DutyOwners(duty string) []string {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	identities := v.dutyCandidates()
-	return rankByHash(duty, identities)[0].Name, len(identities)
+	ranked := rankByHash(duty, v.dutyCandidates())
+	names := make([]string, 0, len(ranked))
+	for _, identity := range ranked {
+		names = append(names, identity.Name)
+	}
+	return names
 }
--- a/spokepeer/aggregate.go
+++ b/spokepeer/aggregate.go
@@ -155,8 +155,15 @@
 		}}
 	}
 	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.aggregates.direct(n.View.Clock.Now())
+	sums := n.aggregates.direct(n.View.Clock.Now())
+	n.mutex.Unlock()
+	if n.LocalCountFunc == nil {
+		return sums
+	}
+	for _, sum := range sums {
+		maps.DeleteFunc(sum.Counts, func(key string, _ int64) bool { return !n.LocalCountFunc(key) })
+	}
+	return sums
 }
 
 // changedAggregates returns the sums to send on the link, as far as they have
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -40,6 +40,9 @@
 	// maxBaseIntervalLinks is the number of links up to which heartbeats are sent
 	// at the base interval.
 	maxBaseIntervalLinks = 6
+	// gatewayIntervalFactor lengthens the time between heartbeats where news of other
+	// data centres comes through gateways, as a heartbeat then has more to carry.
+	gatewayIntervalFactor = 1.5
 	// maxTriggerLinks is the number of links up to which
 	// TriggerHeartbeatsIfFewLinks is worth the additional heartbeats.
 	maxTriggerLinks = 8
@@ -76,6 +79,9 @@
 	// disables the exchange.
 	DataCentreCountsFunc      func() map[string]int64
 	MergeDataCentreCountsFunc func(dataCentre string, generation int64, counts map[string]int64)
+	// LocalCountFunc reports whether the instances of this data centre need a counter
+	// of other ones. Nil means that they need all.
+	LocalCountFunc func(key string) bool
 	// TableChangesFunc answers the requests of peers that read a table through this
 	// process. Nil means that none may.
 	TableChangesFunc func(ctx context.Context, request spokefeed.RelayRequest) (spokefeed.RelayUpdate, error)
@@ -125,7 +131,11 @@
 	if base == 0 {
 		base = defaultBaseInterval
 	}
-	return max(base, base*spokeclock.Millis(n.targetCount.Load())/maxBaseIntervalLinks)
+	interval := max(base, base*spokeclock.Millis(n.targetCount.Load())/maxBaseIntervalLinks)
+	if n.DataCentreCountsFunc != nil && !n.View.IsFullMesh() {
+		return spokeclock.Millis(gatewayIntervalFactor * float64(interval))
+	}
+	return interval
 }
 
 // ConfigCheckDone reports whether a peer has reported the revision of its
