member: keep the first summary of a data centre in the first millisecond

Cause: TestFirstPeerKeepsSummaries failed once. A summary that is not known was taken for one made at time zero, so that one received in the first millisecond of the process was dropped as not newer. Change: a summary that is not known is never newer.

--- a/spokemember/datacentre.go
+++ b/spokemember/datacentre.go
@@ -26,7 +26,8 @@
 	now := v.Clock.Now()
 	for _, summary := range summaries {
 		madeAt := now - summary.Age
-		if summary.DataCentre == v.Self.DataCentre || madeAt <= v.summaries[summary.DataCentre].madeAt {
+		known, isKnown := v.summaries[summary.DataCentre]
+		if summary.DataCentre == v.Self.DataCentre || (isKnown && madeAt <= known.madeAt) {
 			continue
 		}
 		v.summaries[summary.DataCentre] = datedSummary{summary: summary, madeAt: madeAt}
