config: check caller routes, limits, ranks and additional keys

Cause: noticed by reading: these fields of a declaration were taken unchecked, so that a route to an undeclared service or a key that is no hash was found by callers. Change: each is checked with its field, value and what is allowed.

--- a/spokeconfig/validate.go
+++ b/spokeconfig/validate.go
@@ -77,6 +77,8 @@
 	v.validateServices(d.Services)
 	v.validateWorkspaces(d.Workspaces)
 	v.validatePrices(d)
+	v.validateCallerRoutes(d)
+	v.validateLimits(d.Limits)
 	if v.firstProblem == "" {
 		return nil
 	}
@@ -154,6 +156,11 @@
 	field := "workspaces." + w.Name + "."
 	hash, err := hex.DecodeString(w.KeySHA256)
 	v.expect(err == nil && len(hash) == keyHashBytes, field+"key_sha256", fmt.Sprintf("%q", w.KeySHA256), "64 hexadecimal digits")
+	for _, key := range w.AdditionalKeysSHA256 {
+		hash, err := hex.DecodeString(key)
+		v.expect(err == nil && len(hash) == keyHashBytes, field+"more_keys_sha256", fmt.Sprintf("%q", key), "64 hexadecimal digits each")
+	}
+	v.expect(w.EngineRank >= 0, field+"rank", w.EngineRank, "zero or more")
 	v.expect(w.Priority >= 0 && w.Priority <= maxPriority, field+"priority", w.Priority, "1 to 9, or 0 for 5")
 	v.expect(w.Share >= 0, field+"share", w.Share, "zero or more")
 	v.expect(w.RequestRate >= 0, field+"requests_per_second", w.RequestRate, "zero or more")
@@ -169,3 +176,35 @@
 		v.expect(price.OnDemandPerHour >= 0, "prices.on_demand_per_hour", price.OnDemandPerHour, "zero or more")
 	}
 }
+
+func (v *validator) validateCallerRoutes(d *Declaration) {
+	kinds := []RouteKind{RouteIdempotent, RouteAtMostOnce, RouteStream}
+	for i := range d.CallerRoutes {
+		route := &d.CallerRoutes[i]
+		field := "caller_routes." + route.Name + "."
+		v.expect(route.Host != "", field+"host", "empty", "a host")
+		v.expect(strings.HasPrefix(route.Path, "/") && strings.HasSuffix(route.Path, "/"), field+"path", fmt.Sprintf("%q", route.Path), "a path that begins and ends with /")
+		v.expect(slices.Contains(kinds, route.Kind), field+"kind", fmt.Sprintf("%q", route.Kind), "idempotent, once, stream")
+		v.expect(route.Timeout >= 0, field+"timeout_millis", route.Timeout, "zero or more")
+		v.expect(route.LatencyTarget >= 0, field+"latency_target_millis", route.LatencyTarget, "zero or more")
+		v.expect(route.EventGapTarget >= 0, field+"gap_target_millis", route.EventGapTarget, "zero or more")
+		v.expect(route.Priority >= 0, field+"priority", route.Priority, "zero or more")
+		v.expect(route.MaxAttempts >= 0, field+"max_attempts", route.MaxAttempts, "zero or more")
+		v.expect(len(route.Targets) > 0, field+"targets", "empty", "at least one target")
+		for _, target := range route.Targets {
+			isDeclared := slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == target.Service })
+			v.expect(isDeclared, field+"targets.service", fmt.Sprintf("%q", target.Service), "a declared service")
+			v.expect(target.Weight >= 0, field+"targets.weight", target.Weight, "zero or more")
+		}
+	}
+}
+
+func (v *validator) validateLimits(limits *CallerLimits) {
+	if limits == nil {
+		return
+	}
+	v.expect(limits.HeaderBytes >= 0, "limits.header_bytes", limits.HeaderBytes, "zero or more")
+	v.expect(limits.BodyBytes >= 0, "limits.body_bytes", limits.BodyBytes, "zero or more")
+	v.expect(limits.HeaderTimeout >= 0, "limits.header_timeout_millis", limits.HeaderTimeout, "zero or more")
+	v.expect(limits.IdleTimeout >= 0, "limits.idle_timeout_millis", limits.IdleTimeout, "zero or more")
+}
