member: duties of a data centre fall to its largest instances first

Cause: on the large site most instances have 0.19 of a core and three in each data centre 0.8; rendezvous hashing gave readers and gateways, which serve 50 others, to any of them. Ruled out: roles in the settings; no instance is set aside. Change: an instance tells its share of a core; ranks go by that first, then by the hash. Where all are alike nothing changes.

--- a/spokemember/identity.go
+++ b/spokemember/identity.go
@@ -21,6 +21,8 @@
 	// Generation distinguishes the runs of an instance. It is greater for a later
 	// run.
 	Generation int64 `json:"generation"`
+	// Cores is the processor share of the instance, in cores. Zero means unknown.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // DataCentreSummary is the state of a data centre's entry instances.
@@ -41,14 +43,18 @@
 	hash     uint64
 }
 
-// rankByHash orders identities by their hash with a salt (rendezvous hashing),
-// so that all instances select the same ones without communication.
+// rankByHash orders identities by their processor share, the greatest first, and
+// then by their hash with a salt (rendezvous hashing), so that all instances select
+// the same ones without communication. Duties for many instances would slow down a
+// small one.
 func rankByHash(salt string, identities []Identity) []Identity {
 	hashed := make([]hashedIdentity, 0, len(identities))
 	for _, identity := range identities {
 		hashed = append(hashed, hashedIdentity{identity: identity, hash: xxhash.Sum64String(salt + "|" + identity.Name)})
 	}
-	slices.SortFunc(hashed, func(a, b hashedIdentity) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(hashed, func(a, b hashedIdentity) int {
+		return cmp.Or(cmp.Compare(b.identity.Cores, a.identity.Cores), cmp.Compare(a.hash, b.hash))
+	})
 	ranked := make([]Identity, 0, len(hashed))
 	for _, h := range hashed {
 		ranked = append(ranked, h.identity)
