lease: take a lease over sooner from an earlier run of the same instance

Ruled out: no wait at all, as orders of the earlier run may still be on their way. Change: a record of this instance that this process didn't write is replaced after the longest delivery or two renewal intervals, whichever is longer (2 s); a live process of the same name would have renewed it by then. After a restore of the table the whole wait stays.

--- a/spokelease/lease.go
+++ b/spokelease/lease.go
@@ -18,6 +18,10 @@
 	// fencesPerEra is added to the fencing number with each restore of the table. It
 	// exceeds the number of holders that a restore can make the table forget.
 	fencesPerEra = 1_000_000
+	// ownRecordRenewals is the number of renewal intervals after which a record of
+	// this instance that this process didn't write is certain to be of a run that has
+	// ended.
+	ownRecordRenewals = 2
 	// safetyMarginDivisor sets the safety margin to a sixth of the term. The
 	// holder stops that much earlier, before any contender can start.
 	safetyMarginDivisor = 6
@@ -146,7 +150,8 @@
 // canWrite reports whether this process owns the lease, or the lease has been
 // released, or it has expired as observed by this process. A record of an earlier
 // era may be older than the last one: only the process that owns the lease by its
-// own clock may replace it at once.
+// own clock may replace it at once. An earlier run of this instance has ended when
+// this one starts, so that only its last orders have to be waited out.
 func (l *Lease) canWrite(record Record, row spoketable.Row, now spokeclock.Millis) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -164,7 +169,11 @@
 		l.observedAt = now
 		return false
 	}
-	return now-l.observedAt >= max(record.Term, l.Term)+l.MaxDeliveryDelay
+	wait := max(record.Term, l.Term) + l.MaxDeliveryDelay
+	if record.Holder == l.Holder && !isOutdated {
+		wait = max(l.MaxDeliveryDelay, ownRecordRenewals*l.Term/renewalsPerTerm)
+	}
+	return now-l.observedAt >= wait
 }
 
 func (l *Lease) writeRecord(ctx context.Context, old Record, row spoketable.Row, started spokeclock.Millis) {
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -30,6 +30,7 @@
 	LoseResponse bool                     `yaml:"lose_answer"`
 	Copy         bool                     `yaml:"copy"`
 	Restore      bool                     `yaml:"restore"`
+	Restart      []string                 `yaml:"restart"`
 	Act          string                   `yaml:"act"`
 	Release      string                   `yaml:"release"`
 	Held         []string                 `yaml:"held"`
@@ -63,11 +64,13 @@
 	clock.Advance(1)
 	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient()}
 	leases := make(map[string]*spokelease.Lease)
-	for _, name := range []string{"a", "b"} {
+	start := func(name string) {
 		leases[name] = &spokelease.Lease{
 			ReadFunc: table.Read, TransactFunc: table.Transact, Clock: clock.Clock(), Name: "duty", Holder: name, Term: 6000, MaxDeliveryDelay: 2000, TakeoverDelay: c.TakeoverDelay, Log: zerolog.Nop(),
 		}
 	}
+	start("a")
+	start("b")
 	setFaults := func(faults spokestandin.TableFaults) {
 		_, err := spokehttp.PostJSON[struct{}](context.Background(), table.Client, server.URL+"/control", faults)
 		require.NoError(t, err)
@@ -78,25 +81,34 @@
 		if faults, has := s.faults(); has {
 			setFaults(faults)
 		}
+		for _, name := range s.Restart {
+			start(name)
+		}
 		if s.Act != "" {
 			leases[s.Act].AcquireOrRenew(context.Background())
 		}
 		if s.Release != "" {
 			leases[s.Release].Release()
 		}
-		for name, lease := range leases {
-			fence, held := lease.Held()
-			require.Equal(t, contains(s.Held, name), held, "step %d: %s", i+1, name)
-			if held && s.Fence > 0 {
-				require.Equal(t, s.Fence, fence, "step %d", i+1)
-			}
-			if !held {
-				continue
-			}
-			holder, used := usedFences[fence]
-			require.True(t, !used || holder == name, "step %d: %s and %s use fencing number %d", i+1, holder, name, fence)
-			usedFences[fence] = name
+		s.checkHolders(t, i+1, leases, usedFences)
+	}
+}
+
+// checkHolders compares the active holders with those that the step wants. No
+// fencing number may be used by two of them.
+func (s leaseStep) checkHolders(t *testing.T, step int, leases map[string]*spokelease.Lease, usedFences map[spokelease.FencingNumber]string) {
+	for name, lease := range leases {
+		fence, held := lease.Held()
+		require.Equal(t, contains(s.Held, name), held, "step %d: %s", step, name)
+		if !held {
+			continue
+		}
+		if s.Fence > 0 {
+			require.Equal(t, s.Fence, fence, "step %d", step)
 		}
+		holder, used := usedFences[fence]
+		require.True(t, !used || holder == name, "step %d: %s and %s use fencing number %d", step, holder, name, fence)
+		usedFences[fence] = name
 	}
 }
 
