usage: store the counts of windows that are not reported yet

Where all instances die together, their counts died with them: a window that had ended was reported as zero (480 of 480 off), the one under way without its first second. Ruled out: to leave such windows out, as callers' usage is known until the kill; counts from each instance, as one call a second is enough. Change: the holder stores its counts by run once a second, and the next holder takes the greater of each. Test: TestReports, counts of instances that die together are not lost (failed without the restore). Conclusion: the window in which all die stays off by up to a second of requests.

--- a/spokeusage/reporter.go
+++ b/spokeusage/reporter.go
@@ -15,6 +15,11 @@
 const (
 	// reportsKey is the key of the row with the latest stored reports.
 	reportsKey = "usage/decided"
+	// snapshotKey is the key of the row with the holder's counts of the windows that
+	// have not been reported.
+	snapshotKey = "usage/counts"
+	// snapshotInterval is the time between two writes of that row.
+	snapshotInterval = spokeclock.Second
 	// minCountsDelay is the least time after a window's end until the peers' last
 	// counts have arrived: a heartbeat interval of a deployment of some instances
 	// and the time to send a lost heartbeat again.
@@ -53,6 +58,9 @@
 	TransactFunc func(ctx context.Context, transaction spoketable.Transaction) (spoketable.Outcome, error)
 	// SendFunc sends a report with a fencing number.
 	SendFunc func(ctx context.Context, fence spokelease.FencingNumber, report Report) error
+	// IdentityFunc returns how this process is named in stored counts. Nil means that
+	// no counts are stored.
+	IdentityFunc func() Identity
 	// CountsDelayFunc returns the time after a window's end until the peers' last
 	// counts have arrived. Nil means the least time.
 	CountsDelayFunc func() spokeclock.Millis
@@ -65,6 +73,8 @@
 	stored   []Report
 	sent     map[Window]bool
 	isLoaded bool
+	// snapshotAt is the ledger's time of the last stored snapshot.
+	snapshotAt spokeclock.Millis
 	// remembered are all reports that this process has read or stored, as the
 	// table may be restored from an older copy.
 	remembered map[Window]Report
@@ -137,7 +147,11 @@
 		r.sent = make(map[Window]bool)
 		r.isLoaded = r.load(ctx)
 	}
-	if !r.isLoaded || !r.storeEnded(ctx) {
+	if !r.isLoaded {
+		return
+	}
+	r.storeSnapshot(ctx)
+	if !r.storeEnded(ctx) {
 		return
 	}
 	for _, report := range r.stored {
@@ -148,11 +162,12 @@
 // load reads the reports that earlier holders stored. It returns false if they
 // could not be read.
 func (r *Reporter) load(ctx context.Context) bool {
-	rows, err := r.ReadFunc(ctx, reportsKey)
+	rows, err := r.ReadFunc(ctx, reportsKey, snapshotKey)
 	if err != nil {
 		r.Log.Warn().Err(err).Msg("Stored usage reports could not be read.")
 		return false
 	}
+	r.restoreSnapshot(rows[1])
 	r.stored = nil
 	r.version = rows[0].Version
 	if r.version == 0 {
@@ -168,6 +183,36 @@
 	return true
 }
 
+// restoreSnapshot adds the counts of an earlier holder, which may be all that is left
+// of instances that died together.
+func (r *Reporter) restoreSnapshot(row spoketable.Row) {
+	if row.Version == 0 || r.IdentityFunc == nil {
+		return
+	}
+	snapshot, err := spoketable.DecodeRow[Snapshot](row)
+	if err != nil {
+		r.Log.Error().Err(err).Msg("Stored usage counts are malformed.")
+		return
+	}
+	r.Ledger.Restore(snapshot, r.IdentityFunc())
+}
+
+// storeSnapshot stores the counts known now, once in each snapshotInterval. A failure
+// only makes the counts of a holder that dies older.
+func (r *Reporter) storeSnapshot(ctx context.Context) {
+	now := r.Ledger.wall()
+	if r.IdentityFunc == nil || now-r.snapshotAt < snapshotInterval {
+		return
+	}
+	r.snapshotAt = now
+	_, err := r.TransactFunc(ctx, spoketable.Transaction{
+		Writes: []spoketable.Write{spoketable.EncodeWrite(snapshotKey, r.Ledger.Snapshot(r.IdentityFunc()))},
+	})
+	if err != nil {
+		r.Log.Warn().Err(err).Msg("Usage counts could not be stored.")
+	}
+}
+
 // storeEnded stores reports of the windows that have ended since the last
 // stored one. It returns false if the table did not accept them.
 func (r *Reporter) storeEnded(ctx context.Context) bool {
--- a/spokeusage/reporter_test.go
+++ b/spokeusage/reporter_test.go
@@ -34,6 +34,8 @@
 		// Copy takes a copy of the table, and Restore restores it.
 		Copy    bool `yaml:"copy"`
 		Restore bool `yaml:"restore"`
+		// Restart are instances that are killed and started again.
+		Restart []string `yaml:"restart"`
 		// ResponsesLost is whether the platform's responses to reports are lost.
 		ResponsesLost bool `yaml:"lost"`
 		// Sent has the windows sent in this step, counted from the script's
@@ -63,6 +65,8 @@
 type reportSimulation struct {
 	*testing.T
 	controlFunc   func(spokestandin.TableFaults)
+	table         *spoketable.Table
+	generation    int64
 	clock         spokeclock.Manual
 	ledgers       map[string]*spokeusage.Ledger
 	leases        map[string]*spokelease.Lease
@@ -86,19 +90,26 @@
 		require.NoError(t, err)
 	}
 	s.clock.Advance(1)
+	s.table = table
 	for _, name := range []string{"a", "b"} {
-		s.ledgers[name] = &spokeusage.Ledger{WindowLength: windowLength, WallFunc: func() spokeclock.Millis { return firstWindow*windowLength + s.clock.Clock().Now() }}
-		s.leases[name] = &spokelease.Lease{
-			ReadFunc: table.Read, TransactFunc: table.Transact, Clock: s.clock.Clock(), Name: "duty", Holder: name, Term: 3000, MaxDeliveryDelay: 1500, Log: zerolog.Nop(),
-		}
-		s.reporters[name] = &spokeusage.Reporter{
-			Ledger: s.ledgers[name], Lease: s.leases[name], WorkspacesFunc: func() []string { return []string{"w"} },
-			ReadFunc: table.Read, TransactFunc: table.Transact, SendFunc: s.receiveReport, Log: zerolog.Nop(),
-		}
+		s.start(name, 1)
 	}
 	return s
 }
 
+// start starts a run of an instance, which knows nothing.
+func (s *reportSimulation) start(name string, generation int64) {
+	s.generation = generation
+	s.ledgers[name] = &spokeusage.Ledger{WindowLength: windowLength, WallFunc: func() spokeclock.Millis { return firstWindow*windowLength + s.clock.Clock().Now() }}
+	s.leases[name] = &spokelease.Lease{
+		ReadFunc: s.table.Read, TransactFunc: s.table.Transact, Clock: s.clock.Clock(), Name: "duty", Holder: name, Term: 3000, MaxDeliveryDelay: 1500, Log: zerolog.Nop(),
+	}
+	s.reporters[name] = &spokeusage.Reporter{
+		Ledger: s.ledgers[name], Lease: s.leases[name], WorkspacesFunc: func() []string { return []string{"w"} },
+		ReadFunc: s.table.Read, TransactFunc: s.table.Transact, SendFunc: s.receiveReport, IdentityFunc: func() spokeusage.Identity { return spokeusage.Identity{Instance: name, Generation: generation} }, Log: zerolog.Nop(),
+	}
+}
+
 var errResponseLost = errors.New("response to the usage report was lost")
 
 // receiveReport is the platform's side of a report. A window that is reported
@@ -126,11 +137,7 @@
 		if step.Copy || step.Restore {
 			s.controlFunc(spokestandin.TableFaults{Copy: step.Copy, Restore: step.Restore})
 		}
-		for name, workspaces := range step.Requests {
-			for _, workspace := range workspaces {
-				s.ledgers[name].CountRequest(workspace)
-			}
-		}
+		s.applyInstances(step.Restart, step.Requests)
 		if step.CountsTo != "" {
 			other := map[string]string{"a": "b", "b": "a"}[step.CountsTo]
 			s.ledgers[step.CountsTo].SetPeerCounts(other, 1, s.ledgers[other].Counts())
@@ -150,6 +157,18 @@
 	require.Equal(s, c.Counts, s.counts)
 }
 
+// applyInstances starts instances again and counts requests at others.
+func (s *reportSimulation) applyInstances(restarted []string, requests map[string][]string) {
+	for _, name := range restarted {
+		s.start(name, s.generation+1)
+	}
+	for name, workspaces := range requests {
+		for _, workspace := range workspaces {
+			s.ledgers[name].CountRequest(workspace)
+		}
+	}
+}
+
 // TestLedgerWithoutWindows checks that a ledger whose windows have no length
 // counts nothing.
 func TestLedgerWithoutWindows(t *testing.T) {
