feed: follow a relay only once it has read as far as this process

Cause: found by reading the change: an instance that reads a table directly took a peer's rows although the peer may be a poll behind, so that a removed server could come back for a moment. Change: the relay's position is compared before it is followed, by era and version. Test: TestUpstream, four cases (a relay behind, of an older era, failing in turn).

--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -74,7 +74,7 @@
 // way than at the position.
 func (u *Upstream) Changes(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error) {
 	peer, isShared := u.reader()
-	if after.Relay == "" && peer != "" && !u.joinRelay(ctx, peer) {
+	if after.Relay == "" && peer != "" && !u.joinRelay(ctx, peer, after) {
 		peer = ""
 	}
 	if peer != after.Relay {
@@ -105,10 +105,13 @@
 }
 
 // joinRelay fetches all rows from a relay before the table is no longer read
-// directly. It reports whether that succeeded.
-func (u *Upstream) joinRelay(ctx context.Context, peer string) bool {
+// directly. It reports whether that succeeded and the relay has read as far.
+func (u *Upstream) joinRelay(ctx context.Context, peer string, after Position) bool {
 	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
-	if err != nil {
+	if err != nil || update.Position.Era < after.Era {
+		return false
+	}
+	if update.Position.Era == after.Era && update.Position.Version < after.Version {
 		return false
 	}
 	u.keep(peer, update)
