--- a/spokepeer/aggregate.go
+++ b/spokepeer/aggregate.go
@@ -157,11 +157,12 @@
 	n.mutex.Lock()
 	sums := n.aggregates.direct(n.View.Clock.Now())
 	n.mutex.Unlock()
-	if n.LocalCountFunc == nil {
+	if n.LocalFilterFunc == nil || len(sums) == 0 {
 		return sums
 	}
+	isNeeded := n.LocalFilterFunc()
 	for _, sum := range sums {
-		maps.DeleteFunc(sum.Counts, func(key string, _ int64) bool { return !n.LocalCountFunc(key) })
+		maps.DeleteFunc(sum.Counts, func(key string, _ int64) bool { return !isNeeded(key) })
 	}
 	return sums
 }
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -79,9 +79,9 @@
 	// disables the exchange.
 	DataCentreCountsFunc      func() map[string]int64
 	MergeDataCentreCountsFunc func(dataCentre string, generation int64, counts map[string]int64)
-	// LocalCountFunc reports whether the instances of this data centre need a counter
-	// of other ones. Nil means that they need all.
-	LocalCountFunc func(key string) bool
+	// LocalFilterFunc returns whether the instances of this data centre need a counter
+	// of other ones. It is called once for each heartbeat. Nil means that they need all.
+	LocalFilterFunc func() (isNeeded func(key string) bool)
 	// TableChangesFunc answers the requests of peers that read a table through this
 	// process. Nil means that none may.
 	TableChangesFunc func(ctx context.Context, request spokefeed.RelayRequest) (spokefeed.RelayUpdate, error)
