--- a/spokebackend/group.go
+++ b/spokebackend/group.go
@@ -46,28 +46,28 @@
 	r.dataCentreInFlight[dataCentre] = dataCentreInFlight{byGroup: maps.Clone(byGroup), receivedAt: r.Clock.Now()}
 }
 
-// remoteInFlight returns, for each group of a service, the average number of
-// requests that instances of other data centres have in flight at one of its
-// servers. Which server each is at, they don't tell.
-func (r *Registry) remoteInFlight(service string, now spokeclock.Millis) map[Group]int {
+// remoteInFlight returns, for the servers of a service in each data centre, the
+// average number of requests that instances of other data centres have in flight at
+// one of them. Which server each is at, they don't tell.
+func (r *Registry) remoteInFlight(service string, now spokeclock.Millis) map[string]int {
 	if len(r.dataCentreInFlight) == 0 {
 		return nil
 	}
-	servers := make(map[Group]int)
+	servers := make(map[string]int)
 	for _, s := range r.servers {
 		if s.instance.Service == service && !r.isDraining(s) {
-			servers[groupOf(service, s.instance.DataCentre)]++
+			servers[s.instance.DataCentre]++
 		}
 	}
-	averages := make(map[Group]int, len(servers))
-	for group, count := range servers {
-		total := 0
+	averages := make(map[string]int, len(servers))
+	for dataCentre, count := range servers {
+		group, total := groupOf(service, dataCentre), 0
 		for _, report := range r.dataCentreInFlight {
 			if now-report.receivedAt <= groupTimeout {
 				total += report.byGroup[group]
 			}
 		}
-		averages[group] = int(math.Round(float64(total) / float64(count)))
+		averages[dataCentre] = int(math.Round(float64(total) / float64(count)))
 	}
 	return averages
 }
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -52,8 +52,9 @@
 const (
 	// gapWeight is the weight of a new token gap in the moving average.
 	gapWeight = 0.3
-	// maxGapRatio is the ratio to the usual gap up to which a single gap counts. A longer one may be due to this process waiting for the processor;
-	// a server that has slowed down has several in a row.
+	// maxGapRatio is the ratio to the usual gap up to which a single gap counts. A
+	// longer one may be due to this process waiting for the processor; a server that
+	// has slowed down has several in a row.
 	maxGapRatio = 3
 	// slownessHalfLife is the time without a token in which slowness halves.
 	slownessHalfLife  = 2 * spokeclock.Second
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -51,7 +51,7 @@
 		}
 		candidate := r.candidate(s, median, now)
 		candidate.PrefixCached = name == prefixServer
-		candidate.InFlight += remote[groupOf(service, s.instance.DataCentre)]
+		candidate.InFlight += remote[s.instance.DataCentre]
 		candidates = append(candidates, candidate)
 	}
 	slices.SortFunc(candidates, func(a, b spokeroute.Candidate) int { return strings.Compare(a.Name, b.Name) })
--- a/spokecount/sum.go
+++ b/spokecount/sum.go
@@ -12,6 +12,9 @@
 	// is first reported. Other counters count from their first value, as they may
 	// have grown for a long time before. Nil means that none does.
 	FromZeroFunc func(key string) bool
+	// SkipFunc reports whether a counter is left out, as a sum of it has no meaning.
+	// Nil means that none is.
+	SkipFunc func(key string) bool
 
 	mutex    sync.Mutex
 	totals   map[string]int64
@@ -42,6 +45,9 @@
 		s.reported[instance] = before
 	}
 	for key, count := range counts {
+		if s.SkipFunc != nil && s.SkipFunc(key) {
+			continue
+		}
 		if known || s.fromZero(key) {
 			s.totals[key] += max(0, count-before.counts[key])
 		}
--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -58,12 +58,12 @@
 func (u *Upstream) ReadAll(ctx context.Context) ([]spoketable.Row, Position, error) {
 	if pending := u.pending; pending != nil {
 		u.pending = nil
-		return pending.Rows, pending.position(), nil
+		return pending.Rows, pending.Position, nil
 	}
 	for peer, _ := u.reader(); peer != ""; peer, _ = u.reader() {
 		update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
 		if err == nil {
-			return update.Rows, update.positionAt(peer), nil
+			return update.Rows, update.Position, nil
 		}
 	}
 	return u.ReadAllFunc(ctx)
@@ -91,7 +91,7 @@
 		return nil, after, spokeerror.New("read feed", KindSourceChanged, err)
 	}
 	if update.IsWhole {
-		u.keep(peer, update)
+		u.pending = &update
 		return nil, after, spokeerror.Newf("read feed", KindSourceChanged, "the relay of %s has another history of table %s", peer, u.TableName)
 	}
 	changes := make([]Change, 0, len(update.Rows)+len(update.Removed))
@@ -101,7 +101,7 @@
 	for _, key := range update.Removed {
 		changes = append(changes, Change{Row: spoketable.Row{Key: key}, Removed: true})
 	}
-	return changes, update.positionAt(peer), nil
+	return changes, update.Position, nil
 }
 
 // joinRelay fetches all rows from a relay before the table is no longer read
@@ -114,18 +114,13 @@
 	if update.Position.Era == after.Era && update.Position.Version < after.Version {
 		return false
 	}
-	u.keep(peer, update)
-	return true
-}
-
-// keep keeps an update with all rows for the next call of ReadAll.
-func (u *Upstream) keep(peer string, update RelayUpdate) {
-	update.Position.Relay = peer
 	u.pending = &update
+	return true
 }
 
 // callRelay sends a request to a relay. After a failure the relay is not used for
-// relayRetryDelay.
+// relayRetryDelay. The position of the update includes the place in the relay's
+// history.
 func (u *Upstream) callRelay(ctx context.Context, peer string, request RelayRequest) (RelayUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, (request.Wait + RelayMargin).Duration())
 	defer cancel()
@@ -136,17 +131,6 @@
 		}
 		u.failedUntil[peer] = u.Clock.Now() + relayRetryDelay
 	}
+	update.Position.Relay, update.Position.RelayGeneration, update.Position.RelaySequence = peer, update.Generation, update.Sequence
 	return update, err
 }
-
-func (r RelayUpdate) positionAt(peer string) Position {
-	r.Position.Relay = peer
-	return r.position()
-}
-
-// position returns the position of the update, whose Relay is set already.
-func (r RelayUpdate) position() Position {
-	position := r.Position
-	position.RelayGeneration, position.RelaySequence = r.Generation, r.Sequence
-	return position
-}
--- a/spokemember/datacentre.go
+++ b/spokemember/datacentre.go
@@ -38,13 +38,22 @@
 // traffic: the live ones of this data centre and those of the reachable data
 // centres. It is at least one.
 func (v *View) EntryInstanceCount() int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.Clock.Now()
+	return v.localSummary(0, now).Instances + v.remoteInstances(now)
+}
+
+// remoteInstances returns the number of instances of the other reachable data
+// centres.
+func (v *View) remoteInstances(now spokeclock.Millis) int {
 	count := 0
-	for _, summary := range v.DataCentres() {
-		if summary.Age <= summaryTimeout {
-			count += summary.Instances
+	for _, dated := range v.summaries {
+		if now-dated.madeAt <= summaryTimeout {
+			count += dated.summary.Instances
 		}
 	}
-	return max(1, count)
+	return count
 }
 
 // DataCentres returns the summaries of this data centre, with revision zero,
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -219,12 +219,7 @@
 	if fullMesh {
 		return count
 	}
-	for _, dated := range v.summaries {
-		if now-dated.madeAt <= summaryTimeout {
-			count += dated.summary.Instances
-		}
-	}
-	return count
+	return count + v.remoteInstances(now)
 }
 
 // DataCentreReachable reports whether a data centre counts as reachable: it is
--- a/spokeusage/ledger.go
+++ b/spokeusage/ledger.go
@@ -136,11 +136,7 @@
 	if l.peers[run] == nil {
 		l.peers[run] = make(map[Window]map[string]int64)
 	}
-	for key, count := range counts {
-		if w, workspace, ok := parseCountKey(key); ok {
-			setCount(l.peers[run], w, workspace, count)
-		}
-	}
+	mergeCounts(l.peers[run], counts)
 	l.prunePeers()
 }
 
@@ -176,12 +172,18 @@
 		l.dataCentres[dataCentre] = make(map[Window]map[string]int64)
 	}
 	windows := l.dataCentres[dataCentre]
+	mergeCounts(windows, counts)
+	prune(windows, l.CurrentWindow())
+}
+
+// mergeCounts takes the greater of each known and each new count, as counts of one
+// origin never decrease. Keys of other counters are ignored.
+func mergeCounts(windows map[Window]map[string]int64, counts map[string]int64) {
 	for key, count := range counts {
 		if w, workspace, ok := parseCountKey(key); ok {
 			setCount(windows, w, workspace, max(count, windows[w][workspace]))
 		}
 	}
-	prune(windows, l.CurrentWindow())
 }
 
 // IsCountKey reports whether a counter is one of a ledger.
--- a/spokeusage/snapshot.go
+++ b/spokeusage/snapshot.go
@@ -86,23 +86,9 @@
 			}
 		}
 		if isRun {
-			l.mergePeerCounts(name, run, counts)
+			l.SetPeerCounts(name, run, counts)
 		} else {
 			l.SetDataCentreCounts(origin, counts)
 		}
 	}
 }
-
-// mergePeerCounts is SetPeerCounts for counts that may be older than the known ones.
-func (l *Ledger) mergePeerCounts(peer string, generation int64, counts map[string]int64) {
-	l.mutex.Lock()
-	known := l.peers[peerRun{peer: peer, generation: generation}]
-	newer := make(map[string]int64)
-	for key, count := range counts {
-		if w, workspace, ok := parseCountKey(key); ok && count > known[w][workspace] {
-			newer[key] = count
-		}
-	}
-	l.mutex.Unlock()
-	l.SetPeerCounts(peer, generation, newer)
-}
