backend, feed, platform: log when a server is closed and where its rows come from

Each instance now logs once for each server when it gets no new requests, with the source of that, and a follower that changes its source logs the relay and the version at which it stood. No decision changes.

--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -33,6 +33,9 @@
 	// LongAnswersChangedFunc, if set, is called when a request with a long
 	// answer starts or ends in this process.
 	LongAnswersChangedFunc func()
+	// ClosedFunc, if set, is called when a server gets no new requests from now on,
+	// with the source that reported it. It must not call the registry.
+	ClosedFunc func(instance spokecloud.Instance, source RemovalSource)
 
 	mutex   sync.Mutex
 	servers map[string]*server
@@ -138,9 +141,7 @@
 			s.unlistedSince = 0
 			continue
 		}
-		if s.unlistedSince == 0 {
-			s.unlistedSince = now
-		}
+		r.recordUnlisted(s, now)
 		if s.inFlight > 0 || (!r.ListIsAuthoritative && suspect[s.instance.Service] && s.isOnlyUnlisted(now)) {
 			continue
 		}
@@ -157,6 +158,17 @@
 	}
 }
 
+func (r *Registry) recordUnlisted(s *server, now spokeclock.Millis) {
+	if s.unlistedSince > 0 {
+		return
+	}
+	isDraining := r.isDraining(s)
+	s.unlistedSince = now
+	if !isDraining && r.isDraining(s) {
+		r.notifyClosed(s.instance, SourceList)
+	}
+}
+
 // suspectServices returns the services of which the list omits most servers
 // that are not being removed.
 func (r *Registry) suspectServices(listed map[string]struct{}) map[string]bool {
@@ -206,6 +218,9 @@
 	if s.removalSource != "" && !s.removalSource.isOperatorMark() {
 		return nil
 	}
+	if !r.isDraining(s) {
+		r.notifyClosed(s.instance, removal.Source)
+	}
 	s.removalSource = removal.Source
 	remaining := removal.Remaining
 	if remaining == 0 {
@@ -219,6 +234,12 @@
 	return callbacks
 }
 
+func (r *Registry) notifyClosed(instance spokecloud.Instance, source RemovalSource) {
+	if r.ClosedFunc != nil {
+		r.ClosedFunc(instance, source)
+	}
+}
+
 // ClearOperatorMark clears an operator's mark of a server. Marks of other
 // sources stay.
 func (r *Registry) ClearOperatorMark(name string) {
--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -188,7 +188,7 @@
 		f.confirmRelay()
 		return true
 	case spokeerror.KindOf[Kind](err) == KindSourceChanged:
-		f.Log.Debug().Str("table", f.TableName).Err(err).Msg("Reading the whole table from another source.")
+		f.Log.Info().Str("table", f.TableName).Str("relay", f.position.Relay).Int64("version", int64(f.position.Version)).Err(err).Msg("Reading the whole table from another source.")
 		f.loaded = false
 		return f.load(ctx)
 	case spokeerror.KindOf[Kind](err) == KindHistoryLost:
