--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -78,15 +78,27 @@
 // sharedPrefix returns the length and the key of the prefix that the prompt
 // shares with others: all parts except the last, which is the request's own.
 func (r *Request) sharedPrefix() (tokens int, key uint64) {
-	if len(r.PromptParts) < 2 {
+	shared := r.sharedParts()
+	if len(shared) == 0 {
 		return 0, 0
 	}
-	keys := make([]string, 0, len(r.PromptParts))
-	for _, part := range r.PromptParts[:len(r.PromptParts)-1] {
+	for _, part := range shared {
 		tokens += part.Tokens
+	}
+	return tokens, spokeroute.PrefixKey(r.sharedPartKeys()...)
+}
+
+// sharedParts returns the parts that other prompts may share: all except the last.
+func (r *Request) sharedParts() []PromptPart {
+	return r.PromptParts[:max(0, len(r.PromptParts)-1)]
+}
+
+func (r *Request) sharedPartKeys() []string {
+	keys := make([]string, 0, len(r.PromptParts))
+	for _, part := range r.sharedParts() {
 		keys = append(keys, part.Key)
 	}
-	return tokens, spokeroute.PrefixKey(keys...)
+	return keys
 }
 
 // allotmentCost returns what the request costs of its workspace's allotment.
