quarantine, core, peer, platform: bar prompts that crash backend servers

What callers saw: requests with one part of their prompts in common ended one server after the other, over a hundred in some seconds, and took the answers of sound requests with them. Cause: nothing remembered what had become of a request before. Each one was new to its instance and went to the next server, and again to a second one where it may be resumed. The class: a fault that travels with the input is taken for one of the server that met it.

Change: spokequarantine keeps, by shared part of a prompt, the crashes since the last complete answer. A server counts as crashed if it has broken off an answer that was due or had begun within the last second, and then refuses a connection; lost answers, resets and garbled ones don't count. Three crashes of different servers under different requests at least 0.2 s apart bar the part, six if an answer with it is known. Instances send each other what has changed at once, at most 16 parts in 0.1 s on a link, so that it passes the gateways of hundreds of instances in less than a heartbeat; a started instance gets it with its links. Requests with a barred part are refused at once as not run, with the time of the end of the bar; a complete answer lifts it everywhere. An answer that ends with its connection counts once its server accepts another one.

The part that all prompts share stays free, as sound answers clear it: TestQuarantine.

--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -86,6 +86,14 @@
 	return r.lastResponses[dataCentre]
 }
 
+// AcceptsRequests reports whether a server is listed and not being removed.
+func (r *Registry) AcceptsRequests(name string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, found := r.servers[name]
+	return found && !r.isDraining(s)
+}
+
 // isClosed reports whether a server gets no new requests: it is draining or has
 // asked for a pause.
 func (r *Registry) isClosed(s *server, now spokeclock.Millis) bool {
--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -85,6 +85,9 @@
 		if !event.isComment() {
 			attempt.RecordToken(isFirst)
 			w.recordEvent()
+			if isFirst {
+				r.answerStartedAt = r.core.Clock.Now()
+			}
 			isFirst = false
 		}
 		forwardErr = r.forwardEvent(response, event, w)
--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -56,6 +56,7 @@
 	// An attempt in flight counts as executed until the server is known not to
 	// have run it.
 	r.executions.Add(1)
+	r.answerStartedAt, r.isDelimited = 0, false
 	response, err := r.callbacks.SendAttemptFunc(ctx, Attempt{
 		Server: attempt.Instance(), MovedFrom: movedFrom, TimeLeft: r.timeLeft(), Urgency: r.request.urgency(), LastEventID: r.lastEventID,
 	})
@@ -65,6 +66,7 @@
 		}
 		return err
 	}
+	r.isDelimited = !response.EndsWithConnection
 	if response.Body != nil {
 		defer func() { _ = response.Body.Close() }()
 	}
@@ -94,6 +96,7 @@
 	case err == nil:
 		attempt.Succeed()
 		r.recordAnswerLength()
+		r.recordCompleteAnswer(attempt.Instance())
 		if r.prefixKey != 0 {
 			r.service.prefixLocations.SetServer(r.prefixKey, attempt.Instance().Name)
 		}
@@ -107,5 +110,8 @@
 		attempt.Abandon()
 	default:
 		attempt.Fail()
+		if kind == KindNoAnswer {
+			r.recordBrokenAnswer(attempt.Instance())
+		}
 	}
 }
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -11,8 +11,10 @@
 	"mulberryspoke.example/mulberryspoke/spokeadmit"
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokelimit"
+	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spokeretry"
 	"mulberryspoke.example/mulberryspoke/spokeroute"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
@@ -47,6 +49,11 @@
 	// MoveOnSlowdown moves an answer to another server if its server has slowed
 	// down.
 	MoveOnSlowdown bool
+	// Quarantine bars prompts that crash backend servers. Nil disables it.
+	Quarantine *spokequarantine.Quarantine
+	// RefusesConnectionsFunc reports whether nothing listens at a backend server's
+	// address. Nil means that it can't be told, so that no crash is recorded.
+	RefusesConnectionsFunc func(ctx context.Context, server spokecloud.Instance) bool
 	// RequestStartedFunc is called once for each request that a server has
 	// started to run. It may be nil.
 	RequestStartedFunc func(workspace string)
@@ -73,6 +80,7 @@
 	Log zerolog.Logger
 
 	placements     placementLog
+	crashChecks    crashChecks
 	mutex          sync.Mutex
 	services       map[string]*serviceState
 	activeRequests atomic.Int64
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -178,6 +178,9 @@
 	// Body is the body of an answer that is not an event stream. Reading a
 	// truncated body returns an error other than io.EOF.
 	Body io.ReadCloser
+	// EndsWithConnection is true if the answer has neither a length nor chunks, so
+	// that it ends where its connection does.
+	EndsWithConnection bool
 	// Load is the server's load as reported in the answer, or nil.
 	Load *spokeengine.Load
 }
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -40,10 +40,15 @@
 	executions       atomic.Int64
 	executionStarted bool
 	headWritten      bool
-	lastEventID      string
-	firstEventAt     atomic.Int64
-	prefillTokens    int
-	eventCount       atomic.Int64
+	// answerStartedAt is when the first event of the present attempt arrived, or zero.
+	answerStartedAt spokeclock.Millis
+	// isDelimited is whether the end of the present attempt's answer can't be mistaken
+	// for a lost connection.
+	isDelimited   bool
+	lastEventID   string
+	firstEventAt  atomic.Int64
+	prefillTokens int
+	eventCount    atomic.Int64
 	// movedFrom is the server that still holds the KV cache of an answer that is
 	// being moved.
 	movedFrom spokecloud.Instance
@@ -52,6 +57,9 @@
 // serve applies limits and admission control to the request and tries servers
 // until one has answered it.
 func (r *requestRun) serve(ctx context.Context) *Refusal {
+	if cause := r.checkQuarantine(); cause != nil {
+		return r.finalRefusal(ctx, KindQuarantined, cause)
+	}
 	refusal := r.applyLimits()
 	if refusal != nil {
 		return refusal
@@ -95,6 +103,9 @@
 		if ctx.Err() != nil || deadlineCtx.Err() != nil || !r.allowNextServer(err) {
 			break
 		}
+		if cause := r.checkQuarantine(); cause != nil {
+			return r.finalRefusal(ctx, KindQuarantined, cause)
+		}
 		r.core.Counters.countRetry(r.request.isResumable() && r.headWritten)
 		r.core.Log.Info().Str("id", r.request.ID).Str("server", decision.Server()).Int64("ran", r.executions.Load()).Strs("prompt_parts", r.request.sharedPartKeys()).Err(err).Msg("Attempt failed; trying another backend server.")
 	}
@@ -158,6 +169,8 @@
 		if refusal.notRun {
 			refusal.retryAfter = retrySoon
 		}
+	case kind == KindQuarantined:
+		refusal.retryAfter = r.core.Quarantine.Find(r.request.sharedPartKeys()).Remaining
 	case kind == KindNoServer:
 		refusal.retryAfter = max(retryLater, r.core.Registry.NextResume(r.request.Service.Name))
 	case refusal.notRun && lastKind == KindNotRun:
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -25,6 +25,9 @@
 	// triggerDelay is the delay of a triggered heartbeat. Any number of triggers
 	// within it cause one more heartbeat.
 	triggerDelay = 40 * spokeclock.Millis(1)
+	// quarantineDelay is the least time between two messages about the quarantine on a
+	// link, which bounds what crashes of many servers cost.
+	quarantineDelay = 100 * spokeclock.Millis(1)
 	// heartbeatsPerSummary is the number of heartbeats in which one unchanged
 	// data-centre summary is repeated.
 	heartbeatsPerSummary = 2
@@ -38,7 +41,9 @@
 	target   spokemember.Identity
 	cancel   context.CancelFunc
 	triggers chan struct{}
-	done     chan struct{}
+	// newsTriggers receives a value when there is news of the quarantine.
+	newsTriggers chan struct{}
+	done         chan struct{}
 	// rpc is the open connection, or nil.
 	rpc atomic.Pointer[jsonrpc2.Conn]
 
@@ -53,12 +58,17 @@
 	sentSlots      map[spokebackend.ID]int
 	sentCounts     map[string]int64
 	sentAggregates map[aggregateKey]map[string]int64
+	// sentQuarantine is the number of the last change of the quarantine.
+	sentQuarantine int64
 }
 
 // triggerHeartbeat makes the link send a heartbeat before its interval ends.
-func (l *link) triggerHeartbeat() {
+func (l *link) triggerHeartbeat() { trigger(l.triggers) }
+
+// trigger sends a value unless one is waiting.
+func trigger(triggers chan<- struct{}) {
 	select {
-	case l.triggers <- struct{}{}:
+	case triggers <- struct{}{}:
 	default:
 	}
 }
@@ -96,6 +106,7 @@
 		return false
 	}
 	l.node.Log.Debug().Str("peer", peerLabel(l.target)).Msg("Peer link opened.")
+	trigger(l.newsTriggers)
 	l.rpc.Store(rpc)
 	defer l.rpc.Store(nil)
 	l.sendHeartbeats(ctx, rpc)
@@ -123,6 +134,7 @@
 	l.sentSlots = make(map[spokebackend.ID]int)
 	l.sentCounts = make(map[string]int64)
 	l.sentAggregates = nil
+	l.sentQuarantine = 0
 	l.sentInFlight = make(map[spokebackend.ID]spokebackend.InFlight)
 	l.sentRemovals = make(map[string]int64)
 	l.sentSummaries = make(map[string]spokemember.DataCentreSummary)
@@ -153,14 +165,42 @@
 func (l *link) awaitNextHeartbeat(ctx context.Context, rpc *jsonrpc2.Conn) bool {
 	timer := time.NewTimer(l.node.HeartbeatInterval().Duration())
 	defer timer.Stop()
-	select {
-	case <-rpc.DisconnectNotify():
+	for {
+		select {
+		case <-rpc.DisconnectNotify():
+			return false
+		case <-l.newsTriggers:
+			if !l.sendQuarantine(ctx, rpc) {
+				return false
+			}
+			continue
+		case <-l.triggers:
+			_ = spokeclock.Sleep(ctx, triggerDelay)
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return true
+	}
+}
+
+// sendQuarantine sends the changes of the quarantine, at most one message in each
+// quarantineDelay. It reports false when the connection has failed.
+func (l *link) sendQuarantine(ctx context.Context, rpc *jsonrpc2.Conn) bool {
+	if l.node.Quarantine == nil {
+		return true
+	}
+	news, last, hasMore := l.node.Quarantine.NewsSince(l.sentQuarantine)
+	l.sentQuarantine = last
+	if len(news.Parts) == 0 {
+		return true
+	}
+	if rpc.Notify(context.Background(), methodQuarantine, news) != nil {
 		return false
-	case <-l.triggers:
-		_ = spokeclock.Sleep(ctx, triggerDelay)
-	case <-timer.C:
-	case <-ctx.Done():
 	}
+	if hasMore {
+		trigger(l.newsTriggers)
+	}
+	_ = spokeclock.Sleep(ctx, quarantineDelay)
 	return true
 }
 
--- a/spokepeer/message.go
+++ b/spokepeer/message.go
@@ -14,6 +14,7 @@
 	methodConfigSince  = "config_since"
 	methodAttemptState = "attempt_state"
 	methodTableChanges = "table_changes"
+	methodQuarantine   = "quarantine"
 )
 
 // Hello is the handshake of a link, sent by both sides.
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -16,6 +16,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokefeed"
 	"mulberryspoke.example/mulberryspoke/spokemember"
+	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
@@ -85,6 +86,9 @@
 	// TableChangesFunc answers the requests of peers that read a table through this
 	// process. Nil means that none may.
 	TableChangesFunc func(ctx context.Context, request spokefeed.RelayRequest) (spokefeed.RelayUpdate, error)
+	// Quarantine holds the parts of prompts that crash backend servers, which are
+	// exchanged with peers. Nil means none.
+	Quarantine *spokequarantine.Quarantine
 	// BaseInterval is the time between heartbeats on a link while there are few
 	// links. Zero means 500 ms.
 	BaseInterval spokeclock.Millis
@@ -166,6 +170,15 @@
 	}
 }
 
+// SendQuarantine makes every link send what has changed in the quarantine.
+func (n *Node) SendQuarantine() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, l := range n.links {
+		trigger(l.newsTriggers)
+	}
+}
+
 // TriggerHeartbeatsIfFewLinks calls TriggerHeartbeats if there are only a few
 // links, so that peers know of a long answer before they select a server for
 // another one.
@@ -227,7 +240,7 @@
 
 func (n *Node) openLink(ctx context.Context, target spokemember.Identity) *link {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &link{node: n, target: target, cancel: cancel, triggers: make(chan struct{}, 1), done: make(chan struct{})}
+	l := &link{node: n, target: target, cancel: cancel, triggers: make(chan struct{}, 1), newsTriggers: make(chan struct{}, 1), done: make(chan struct{})}
 	go l.run(ctx)
 	return l
 }
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -9,6 +9,7 @@
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokefeed"
 	"mulberryspoke.example/mulberryspoke/spokemember"
+	"mulberryspoke.example/mulberryspoke/spokequarantine"
 )
 
 // session handles the messages received on one connection.
@@ -48,6 +49,8 @@
 		return handleWithParams(request, s.handleAttemptState)
 	case methodTableChanges:
 		return handleWithParams(request, func(r spokefeed.RelayRequest) (any, error) { return s.handleTableChanges(ctx, r) })
+	case methodQuarantine:
+		return handleWithParams(request, s.handleQuarantine)
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: request.Method}
 	}
@@ -128,6 +131,13 @@
 	return s.node.TableChangesFunc(ctx, request)
 }
 
+func (s *session) handleQuarantine(news spokequarantine.News) (any, error) {
+	if s.node.Quarantine != nil {
+		s.node.Quarantine.Merge(news)
+	}
+	return struct{}{}, nil
+}
+
 // peerLabel returns how log messages name a peer.
 func peerLabel(target spokemember.Identity) string {
 	return target.DataCentre + "/" + target.Name
--- /dev/null
+++ b/spokequarantine/quarantine.go
@@ -0,0 +1,352 @@
+package spokequarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+)
+
+const (
+	// minCrashes is the number of crashes that bar a part of which no answer is
+	// known.
+	minCrashes = 3
+	// minCrashesAnswered is the same for a part under which answers were complete
+	// before, as other requests of its servers may be the cause.
+	minCrashesAnswered = 6
+	// minCrashGap is the time between two crashes that count both. Servers that fail
+	// at the same moment have another cause in common.
+	minCrashGap = 200 * spokeclock.Millis(1)
+	// crashWindow is how long a crash counts.
+	crashWindow = 60 * spokeclock.Second
+	// barDuration is how long a part is barred after its last crash. It bounds the
+	// harm of a part that is barred by mistake.
+	barDuration = 5 * 60 * spokeclock.Second
+	// answerRetention is how long a complete answer is remembered.
+	answerRetention = 60 * spokeclock.Second
+	// recentAnswer is the age of an answer up to which a crash is not put down to
+	// its parts.
+	recentAnswer = 2 * spokeclock.Second
+
+	maxSuspects  = 128
+	maxCrashes   = 16
+	maxAnswered  = 8192
+	maxPartBytes = 128
+)
+
+// Crash is a crash of a backend server while it had a request.
+type Crash struct {
+	// Server and Request identify the server and the request.
+	Server  string
+	Request string
+	// Parts are the keys of the parts of the request's prompt that other requests
+	// may share.
+	Parts []string
+}
+
+// Bar is the refusal of a part.
+type Bar struct {
+	// Part is the key of the part. It is empty if no part is barred.
+	Part string
+	// Remaining is the time until the end of the bar.
+	Remaining spokeclock.Millis
+}
+
+// Quarantine keeps the suspected parts. Set its fields before the first call. It
+// is safe for concurrent use.
+type Quarantine struct {
+	// Clock is the time source. Nil means the system clock.
+	Clock *spokeclock.Clock
+	// ChangedFunc is called when there is news for peers. It may be nil.
+	ChangedFunc func()
+	// BarredFunc is called when a part is barred, with the number of its crashes. It
+	// may be nil.
+	BarredFunc func(part string, crashes int)
+
+	mutex    sync.Mutex
+	suspects map[string]*suspect
+	// answered is when the last answer to a request with a part was complete, by
+	// part.
+	answered map[string]spokeclock.Millis
+	// sequence is the number of the last change of a suspect.
+	sequence int64
+}
+
+// suspect is a part under which servers have crashed.
+type suspect struct {
+	// crashes are those since the last known answer, the earliest first.
+	crashes []crashRecord
+	// isAnswered is whether an answer is known that was complete, and answeredAt when
+	// the last one was.
+	isAnswered  bool
+	answeredAt  spokeclock.Millis
+	isBarred    bool
+	barredUntil spokeclock.Millis
+	// sequence is the number of the last change.
+	sequence int64
+}
+
+// crashRecord is one crash. The server and the request are hashes.
+type crashRecord struct {
+	server  uint32
+	request uint32
+	at      spokeclock.Millis
+}
+
+// RecordCrash records a crash that this process has seen.
+func (q *Quarantine) RecordCrash(crash Crash) {
+	now := q.Clock.Now()
+	record := crashRecord{server: hashOf(crash.Server), request: hashOf(crash.Request), at: now}
+	q.update(func() {
+		for _, part := range crash.Parts {
+			if answeredAt, isAnswered := q.answered[part]; len(part) > maxPartBytes || (isAnswered && now-answeredAt <= recentAnswer) {
+				continue
+			}
+			if s := q.suspectOf(part, now); s != nil && s.addCrash(record) {
+				q.recordChange(s)
+			}
+		}
+	})
+}
+
+// RecordAnswer records that a server has answered a request with the parts
+// completely.
+func (q *Quarantine) RecordAnswer(parts []string) {
+	now := q.Clock.Now()
+	q.update(func() {
+		for _, part := range parts {
+			if len(part) > maxPartBytes {
+				continue
+			}
+			q.rememberAnswer(part, now)
+			if s := q.suspects[part]; s != nil && s.applyAnswer(now) {
+				q.recordChange(s)
+			}
+		}
+	})
+}
+
+// Find returns the bar of the first barred part.
+func (q *Quarantine) Find(parts []string) Bar {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.Clock.Now()
+	for _, part := range parts {
+		if s := q.suspects[part]; s != nil && s.isBarredAt(now) {
+			return Bar{Part: part, Remaining: s.barredUntil - now}
+		}
+	}
+	return Bar{}
+}
+
+// IsSuspected reports whether servers have crashed under one of the parts since the
+// last known answer, or it is barred.
+func (q *Quarantine) IsSuspected(parts []string) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, part := range parts {
+		if s := q.suspects[part]; s != nil && (len(s.crashes) > 0 || s.isBarredAt(q.Clock.Now())) {
+			return true
+		}
+	}
+	return false
+}
+
+// BarredCount returns the number of barred parts.
+func (q *Quarantine) BarredCount() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now, count := q.Clock.Now(), 0
+	for _, s := range q.suspects {
+		if s.isBarredAt(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// update runs changeFunc with the mutex held, bars the parts with enough crashes,
+// and reports what has changed.
+func (q *Quarantine) update(changeFunc func()) {
+	q.mutex.Lock()
+	before := q.sequence
+	if q.suspects == nil {
+		q.suspects = make(map[string]*suspect)
+		q.answered = make(map[string]spokeclock.Millis)
+	}
+	changeFunc()
+	hasChanged := q.sequence != before
+	barred := make(map[string]int)
+	if hasChanged {
+		now := q.Clock.Now()
+		for part, s := range q.suspects {
+			if s.sequence > before && s.bar(now) {
+				barred[part] = s.independentCrashes()
+			}
+		}
+	}
+	q.mutex.Unlock()
+	for part, crashes := range barred {
+		if q.BarredFunc != nil {
+			q.BarredFunc(part, crashes)
+		}
+	}
+	if hasChanged && q.ChangedFunc != nil {
+		q.ChangedFunc()
+	}
+}
+
+func (q *Quarantine) recordChange(s *suspect) {
+	q.sequence++
+	s.sequence = q.sequence
+}
+
+// suspectOf returns the suspect of a part. It adds it if there is room after the
+// outdated ones are removed, and otherwise returns nil.
+func (q *Quarantine) suspectOf(part string, now spokeclock.Millis) *suspect {
+	if s := q.suspects[part]; s != nil {
+		return s
+	}
+	if len(q.suspects) >= maxSuspects {
+		q.removeOutdated(now)
+	}
+	if len(q.suspects) >= maxSuspects {
+		return nil
+	}
+	s := &suspect{}
+	s.answeredAt, s.isAnswered = q.answered[part]
+	q.suspects[part] = s
+	return s
+}
+
+// removeOutdated removes the suspects without a bar that had no crash lately. If
+// there are none, it removes the one whose only crash is the oldest.
+func (q *Quarantine) removeOutdated(now spokeclock.Millis) {
+	var oldest string
+	oldestAt := now
+	removed := 0
+	for part, s := range q.suspects {
+		if s.isBarredAt(now) {
+			continue
+		}
+		last := s.lastCrashAt()
+		if len(s.crashes) == 0 || now-last > crashWindow {
+			delete(q.suspects, part)
+			removed++
+			continue
+		}
+		if len(s.crashes) == 1 && last < oldestAt {
+			oldest, oldestAt = part, last
+		}
+	}
+	if removed == 0 {
+		delete(q.suspects, oldest)
+	}
+}
+
+// rememberAnswer stores the time of an answer. When there are too many, it forgets
+// the outdated ones, or else any.
+func (q *Quarantine) rememberAnswer(part string, at spokeclock.Millis) {
+	if _, known := q.answered[part]; !known && len(q.answered) >= maxAnswered {
+		for other, answeredAt := range q.answered {
+			if at-answeredAt > answerRetention {
+				delete(q.answered, other)
+			}
+		}
+		for other := range q.answered {
+			if len(q.answered) < maxAnswered {
+				break
+			}
+			delete(q.answered, other)
+		}
+	}
+	q.answered[part] = at
+}
+
+// addCrash adds a crash unless it is known or older than an answer, and reports
+// whether it did.
+func (s *suspect) addCrash(record crashRecord) bool {
+	if s.isAnswered && record.at <= s.answeredAt {
+		return false
+	}
+	for _, known := range s.crashes {
+		if known.server == record.server && known.request == record.request {
+			return false
+		}
+	}
+	s.crashes = append(s.crashes, record)
+	slices.SortFunc(s.crashes, func(a, b crashRecord) int { return cmp.Compare(a.at, b.at) })
+	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
+	return true
+}
+
+// applyAnswer clears the crashes before an answer and the bar. It reports whether
+// that is news.
+func (s *suspect) applyAnswer(at spokeclock.Millis) bool {
+	if s.isAnswered && at <= s.answeredAt {
+		return false
+	}
+	before := len(s.crashes)
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crashRecord) bool { return c.at <= at })
+	isNews := s.isBarred || len(s.crashes) < before
+	s.isAnswered, s.answeredAt, s.isBarred = true, at, false
+	return isNews
+}
+
+// bar bars the part if it has enough crashes, and reports whether it was not barred
+// before.
+func (s *suspect) bar(now spokeclock.Millis) bool {
+	needed := minCrashes
+	if s.isAnswered {
+		needed = minCrashesAnswered
+	}
+	if s.independentCrashes() < needed {
+		return false
+	}
+	isNew := !s.isBarredAt(now)
+	s.barUntil(s.lastCrashAt() + barDuration)
+	return isNew
+}
+
+func (s *suspect) isBarredAt(now spokeclock.Millis) bool { return s.isBarred && now < s.barredUntil }
+
+// barUntil bars the part until a time, or leaves a bar that ends later.
+func (s *suspect) barUntil(until spokeclock.Millis) {
+	if !s.isBarred || until > s.barredUntil {
+		s.isBarred, s.barredUntil = true, until
+	}
+}
+
+// independentCrashes returns the number of crashes of different servers under
+// different requests, minCrashGap apart, within the last crashWindow.
+func (s *suspect) independentCrashes() int {
+	servers, requests := make(map[uint32]bool), make(map[uint32]bool)
+	count := 0
+	var lastAt spokeclock.Millis
+	for _, c := range s.crashes {
+		isOutdated := s.lastCrashAt()-c.at > crashWindow
+		isTooClose := count > 0 && c.at-lastAt < minCrashGap
+		if isOutdated || isTooClose || servers[c.server] || requests[c.request] {
+			continue
+		}
+		servers[c.server], requests[c.request] = true, true
+		lastAt = c.at
+		count++
+	}
+	return count
+}
+
+// lastCrashAt returns the time of the last crash, or zero if there is none.
+func (s *suspect) lastCrashAt() spokeclock.Millis {
+	if len(s.crashes) == 0 {
+		return 0
+	}
+	return s.crashes[len(s.crashes)-1].at
+}
+
+func hashOf(name string) uint32 {
+	return uint32(xxhash.Sum64String(name)) //nolint:gosec // The low bits of a hash are enough here.
+}
--- /dev/null
+++ b/spokequarantine/quarantine_test.go
@@ -0,0 +1,128 @@
+package spokequarantine_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokecase"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokequarantine"
+)
+
+type quarantineStep struct {
+	After spokeclock.Millis `yaml:"after_millis"`
+	// At names the instances that see the step, separated by spaces.
+	At string `yaml:"at"`
+	// Crash is a server and a request, Parts are those of the request's prompt.
+	Crash  string `yaml:"crash"`
+	Answer bool   `yaml:"answer"`
+	Parts  string `yaml:"parts"`
+	// Exchange sends the news between linked instances until there is no more.
+	Exchange bool `yaml:"exchange"`
+	// Restarted is an instance that starts again with nothing known.
+	Restarted string `yaml:"restarted"`
+	// Barred has the barred parts of the instances in At, in order.
+	Barred *string `yaml:"barred"`
+}
+
+type quarantineCase struct {
+	Name string `yaml:"name"`
+	// Links has a pair of instances each.
+	Links []string         `yaml:"links"`
+	Steps []quarantineStep `yaml:"steps"`
+}
+
+// TestQuarantine checks that a part under which servers crash is barred at all
+// instances, and that no other part of the same requests is.
+func TestQuarantine(t *testing.T) {
+	for _, c := range spokecase.Read[[]quarantineCase](t, "testdata/quarantine.yaml") {
+		t.Run(c.Name, func(t *testing.T) { newSimulation(c).run(t, c) })
+	}
+}
+
+type simulation struct {
+	now       spokeclock.Millis
+	instances map[string]*spokequarantine.Quarantine
+	// sent is the sequence number that a link has sent up to, by its two ends.
+	sent map[string]int64
+}
+
+func newSimulation(c quarantineCase) *simulation {
+	s := &simulation{now: spokeclock.Second, instances: make(map[string]*spokequarantine.Quarantine), sent: make(map[string]int64)}
+	for _, link := range c.Links {
+		for name := range strings.FieldsSeq(link) {
+			s.start(name)
+		}
+	}
+	return s
+}
+
+// start starts an instance, whose clock begins at zero.
+func (s *simulation) start(name string) {
+	startedAt := s.now
+	s.instances[name] = &spokequarantine.Quarantine{Clock: &spokeclock.Clock{NowFunc: func() spokeclock.Millis { return s.now - startedAt }}}
+}
+
+func (s *simulation) run(t *testing.T, c quarantineCase) {
+	for i, step := range c.Steps {
+		s.now += step.After
+		if step.Restarted != "" {
+			s.start(step.Restarted)
+			for link := range s.sent {
+				if slices.Contains(strings.Fields(link), step.Restarted) {
+					delete(s.sent, link)
+				}
+			}
+		}
+		for name := range strings.FieldsSeq(step.At) {
+			s.apply(t, i, s.instances[name], step)
+		}
+		if step.Exchange {
+			s.exchange(c.Links)
+		}
+	}
+}
+
+func (s *simulation) apply(t *testing.T, i int, q *spokequarantine.Quarantine, step quarantineStep) {
+	parts := strings.Fields(step.Parts)
+	if step.Crash != "" {
+		server, request, _ := strings.Cut(step.Crash, " ")
+		q.RecordCrash(spokequarantine.Crash{Server: server, Request: request, Parts: parts})
+	}
+	if step.Answer {
+		q.RecordAnswer(parts)
+	}
+	if step.Barred == nil {
+		return
+	}
+	var barred []string
+	for _, part := range []string{"p", "q", "x", "y"} {
+		if bar := q.Find([]string{part}); bar.Part != "" {
+			require.Positive(t, bar.Remaining, "step %d", i+1)
+			barred = append(barred, part)
+		}
+	}
+	require.Equal(t, strings.Fields(*step.Barred), append([]string{}, barred...), "step %d", i+1)
+}
+
+// exchange sends news on the links in both directions until nothing is left.
+func (s *simulation) exchange(links []string) {
+	for hasSent := true; hasSent; {
+		hasSent = false
+		for _, link := range links {
+			a, b, _ := strings.Cut(link, " ")
+			for _, ends := range [][2]string{{a, b}, {b, a}} {
+				key := ends[0] + " " + ends[1]
+				news, last, _ := s.instances[ends[0]].NewsSince(s.sent[key])
+				s.sent[key] = last
+				if len(news.Parts) > 0 {
+					hasSent = true
+					s.instances[ends[1]].Merge(news)
+				}
+			}
+		}
+	}
+}
