feed: follow no relay that is behind

The position was compared only on the way from the table itself to a relay.

Now a follower remembers how far it has read and takes no relay's rows that are behind, also when a relay has started again or one of a higher rank returns; it stays where it is or reads the table itself. The class: a read that goes back after a change of the source.

TestUpstream, three cases, failed before: "b" was followed at version 8 after 10.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -68,6 +68,15 @@
 	RelaySequence   int64  `json:"-"`
 }
 
+// isBehind reports whether a position is before another one in the history of the
+// table.
+func (p Position) isBehind(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Version < other.Version
+}
+
 // Change is the new state of a row.
 type Change struct {
 	// Row is the row. It has no value if it was removed.
--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -35,6 +35,9 @@
 	// Clock is the time source. Nil means the system clock.
 	Clock *spokeclock.Clock
 
+	// position is how far this process has read. No relay that is behind is followed,
+	// as rows that were removed since would be in use again.
+	position Position
 	// pending is an update with all rows that has been received in place of changes.
 	pending *RelayUpdate
 	// failedUntil is until when a relay is not used after it has failed, by peer.
@@ -58,15 +61,26 @@
 func (u *Upstream) ReadAll(ctx context.Context) ([]spoketable.Row, Position, error) {
 	if pending := u.pending; pending != nil {
 		u.pending = nil
+		u.position = pending.Position
 		return pending.Rows, pending.Position, nil
 	}
 	for peer, _ := u.reader(); peer != ""; peer, _ = u.reader() {
 		update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
-		if err == nil {
-			return update.Rows, update.Position, nil
+		if err != nil {
+			continue
+		}
+		if update.Position.isBehind(u.position) {
+			u.avoid(peer)
+			continue
 		}
+		u.position = update.Position
+		return update.Rows, update.Position, nil
+	}
+	rows, position, err := u.ReadAllFunc(ctx)
+	if err == nil {
+		u.position = position
 	}
-	return u.ReadAllFunc(ctx)
+	return rows, position, err
 }
 
 // Changes returns the changes after a position. Its errors are those of
@@ -74,8 +88,8 @@
 // way than at the position.
 func (u *Upstream) Changes(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error) {
 	peer, isShared := u.reader()
-	if after.Relay == "" && peer != "" && !u.joinRelay(ctx, peer, after) {
-		peer = ""
+	if peer != "" && peer != after.Relay && !u.joinRelay(ctx, peer) {
+		peer = after.Relay
 	}
 	if peer != after.Relay {
 		return nil, after, spokeerror.Newf("read feed", KindSourceChanged, "table %s is now read through %q", u.TableName, peer)
@@ -84,14 +98,22 @@
 		wait = min(wait, u.MaxWait)
 	}
 	if peer == "" {
-		return u.ChangesFunc(ctx, after, wait)
+		changes, position, err := u.ChangesFunc(ctx, after, wait)
+		if err == nil {
+			u.position = position
+		}
+		return changes, position, err
 	}
 	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName, Generation: after.RelayGeneration, Sequence: after.RelaySequence, Wait: wait})
 	if err != nil {
 		return nil, after, spokeerror.New("read feed", KindSourceChanged, err)
 	}
 	if update.IsWhole {
-		u.pending = &update
+		if update.Position.isBehind(u.position) {
+			u.avoid(peer)
+		} else {
+			u.pending = &update
+		}
 		return nil, after, spokeerror.Newf("read feed", KindSourceChanged, "the relay of %s has another history of table %s", peer, u.TableName)
 	}
 	changes := make([]Change, 0, len(update.Rows)+len(update.Removed))
@@ -101,17 +123,15 @@
 	for _, key := range update.Removed {
 		changes = append(changes, Change{Row: spoketable.Row{Key: key}, Removed: true})
 	}
+	u.position = update.Position
 	return changes, update.Position, nil
 }
 
-// joinRelay fetches all rows from a relay before the table is no longer read
-// directly. It reports whether that succeeded and the relay has read as far.
-func (u *Upstream) joinRelay(ctx context.Context, peer string, after Position) bool {
+// joinRelay fetches all rows from a relay before the table is no longer read in the
+// present way. It reports whether that succeeded and the relay has read as far.
+func (u *Upstream) joinRelay(ctx context.Context, peer string) bool {
 	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
-	if err != nil || update.Position.Era < after.Era {
-		return false
-	}
-	if update.Position.Era == after.Era && update.Position.Version < after.Version {
+	if err != nil || update.Position.isBehind(u.position) {
 		return false
 	}
 	u.pending = &update
@@ -126,11 +146,16 @@
 	defer cancel()
 	update, err := u.RelayFunc(ctx, peer, request)
 	if err != nil {
-		if u.failedUntil == nil {
-			u.failedUntil = make(map[string]spokeclock.Millis)
-		}
-		u.failedUntil[peer] = u.Clock.Now() + relayRetryDelay
+		u.avoid(peer)
 	}
 	update.Position.Relay, update.Position.RelayGeneration, update.Position.RelaySequence = peer, update.Generation, update.Sequence
 	return update, err
 }
+
+// avoid keeps a relay from being used for relayRetryDelay.
+func (u *Upstream) avoid(peer string) {
+	if u.failedUntil == nil {
+		u.failedUntil = make(map[string]spokeclock.Millis)
+	}
+	u.failedUntil[peer] = u.Clock.Now() + relayRetryDelay
+}
--- a/spokefeed/upstream_test.go
+++ b/spokefeed/upstream_test.go
@@ -19,6 +19,8 @@
 	Read     string                        `yaml:"read"`
 	Relays   map[string]spoketable.Version `yaml:"relays"`
 	RelayEra spoketable.Era                `yaml:"relay_era"`
+	// Restarted means that the relays have another history than before.
+	Restarted bool `yaml:"restarted"`
 	// From is the relay that the rows are from, empty for the table itself.
 	From          string `yaml:"from"`
 	SourceChanged bool   `yaml:"source_changed"`
@@ -60,7 +62,7 @@
 				return spokefeed.RelayUpdate{}, spokeerror.Newf("call", spokefeed.KindUnavailable, "no answer")
 			}
 			position := spokefeed.Position{Era: upstreamEra + step.RelayEra, Version: version}
-			return spokefeed.RelayUpdate{Generation: 1, Sequence: 1, Position: position, IsWhole: request.Generation == 0}, nil
+			return spokefeed.RelayUpdate{Generation: 1, Sequence: 1, Position: position, IsWhole: request.Generation == 0 || step.Restarted}, nil
 		},
 	}
 	var position spokefeed.Position
