feed, platform: a relay's rows are as old as the table's answer, not as its processing

The bound on the age of a relay's rows, which the time for a leaving server rests on, did not hold there.

Now the time of a read is the latest one at which the table certainly had the rows: the beginning of the read, or the end of its wait if the answer had no changes. The age of an answer without a delay is as before.

TestUpstream, "an answer that is processed late tells of the table as it was", has no way to be stated on the code before, where the age was zero by definition.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -61,6 +61,9 @@
 	Era spoketable.Era `json:"era,omitempty"`
 	// Version is the version of the last change.
 	Version spoketable.Version `json:"version"`
+	// ReadAt is the latest time, by the clock of this process, at which the rows were
+	// certainly those of the table.
+	ReadAt spokeclock.Millis `json:"-"`
 	// Relay is the peer through which the table is read, or empty. RelayGeneration
 	// and RelaySequence are then the place in its history.
 	Relay           string `json:"-"`
--- a/spokefeed/relay.go
+++ b/spokefeed/relay.go
@@ -55,7 +55,8 @@
 	// It bounds how outdated they are without the reader's knowledge. Zero means
 	// DefaultMaxConfirmAge.
 	MaxConfirmAge spokeclock.Millis
-	// Clock is the time source. Nil means the system clock.
+	// Clock is the time source, the same as that of the Upstream that is read. Nil
+	// means the system clock.
 	Clock *spokeclock.Clock
 
 	mutex sync.Mutex
@@ -65,7 +66,6 @@
 	sequence    int64
 	position    Position
 	isConfirmed bool
-	confirmedAt spokeclock.Millis
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -99,14 +99,13 @@
 	}
 }
 
-// confirm records that the table has answered now, and up to which position the
-// rows have been read.
+// confirm records that the rows are those of the table at a position, and were at its
+// time.
 func (r *Relay) confirm(position Position) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.position = position
 	r.isConfirmed = true
-	r.confirmedAt = r.Clock.Now()
 }
 
 // revoke stops passing rows on until the next confirmation.
@@ -146,7 +145,7 @@
 	if maxAge == 0 {
 		maxAge = DefaultMaxConfirmAge
 	}
-	if age := r.Clock.Now() - r.confirmedAt; !r.isConfirmed || age > maxAge {
+	if age := r.Clock.Now() - r.position.ReadAt; !r.isConfirmed || age > maxAge {
 		return RelayUpdate{}, nil, spokeerror.Newf("relay table", KindUnavailable, "the table has not answered this process for %d ms", age)
 	}
 	if r.changed == nil {
--- a/spokefeed/relay_test.go
+++ b/spokefeed/relay_test.go
@@ -63,7 +63,7 @@
 			relay.Set(rows)
 		}
 		if step.Confirmed {
-			relay.Confirm(spokefeed.Position{Version: 1})
+			relay.Confirm(spokefeed.Position{Version: 1, ReadAt: clock.Clock().Now()})
 		}
 		update, err := relay.Changes(context.Background(), requests[step.From])
 		requests = append(requests, spokefeed.RelayRequest{Generation: update.Generation, Sequence: update.Sequence})
--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -76,11 +76,14 @@
 		u.position = update.Position
 		return update.Rows, update.Position, nil
 	}
+	startedAt := u.Clock.Now()
 	rows, position, err := u.ReadAllFunc(ctx)
-	if err == nil {
-		u.position = position
+	if err != nil {
+		return nil, position, err
 	}
-	return rows, position, err
+	position.ReadAt = startedAt
+	u.position = position
+	return rows, position, nil
 }
 
 // Changes returns the changes after a position. Its errors are those of
@@ -98,11 +101,7 @@
 		wait = min(wait, u.MaxWait)
 	}
 	if peer == "" {
-		changes, position, err := u.ChangesFunc(ctx, after, wait)
-		if err == nil {
-			u.position = position
-		}
-		return changes, position, err
+		return u.readChanges(ctx, after, wait)
 	}
 	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName, Generation: after.RelayGeneration, Sequence: after.RelaySequence, Wait: wait})
 	if err != nil {
@@ -127,6 +126,23 @@
 	return changes, update.Position, nil
 }
 
+// readChanges reads changes from the table itself. An answer may wait here until this
+// process gets to run, so that its arrival doesn't show how new it is: one without
+// changes was sent at the end of the wait, any other at its beginning or later.
+func (u *Upstream) readChanges(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error) {
+	startedAt := u.Clock.Now()
+	changes, position, err := u.ChangesFunc(ctx, after, wait)
+	if err != nil {
+		return nil, position, err
+	}
+	position.ReadAt = startedAt
+	if len(changes) == 0 {
+		position.ReadAt = min(startedAt+wait, u.Clock.Now())
+	}
+	u.position = position
+	return changes, position, nil
+}
+
 // joinRelay fetches all rows from a relay before the table is no longer read in the
 // present way. It reports whether that succeeded and the relay has read as far.
 func (u *Upstream) joinRelay(ctx context.Context, peer string) bool {
--- a/spokefeed/upstream_test.go
+++ b/spokefeed/upstream_test.go
@@ -24,6 +24,12 @@
 	// From is the relay that the rows are from, empty for the table itself.
 	From          string `yaml:"from"`
 	SourceChanged bool   `yaml:"source_changed"`
+	// Takes is how long the read takes. Changed means that there are changes.
+	Takes   spokeclock.Millis `yaml:"takes_millis"`
+	Changed bool              `yaml:"changed"`
+	// ReadAgo is how long ago, at the end of the read, the rows were certainly those
+	// of the table.
+	ReadAgo *spokeclock.Millis `yaml:"read_ago_millis"`
 }
 
 type upstreamCase struct {
@@ -51,8 +57,15 @@
 	table := spokefeed.Position{Era: upstreamEra, Version: upstreamVersion}
 	upstream := &spokefeed.Upstream{
 		TableName: "table", MaxWait: 400, Clock: clock.Clock(),
-		ReadAllFunc: func(context.Context) ([]spoketable.Row, spokefeed.Position, error) { return nil, table, nil },
+		ReadAllFunc: func(context.Context) ([]spoketable.Row, spokefeed.Position, error) {
+			clock.Advance(step.Takes)
+			return nil, table, nil
+		},
 		ChangesFunc: func(context.Context, spokefeed.Position, spokeclock.Millis) ([]spokefeed.Change, spokefeed.Position, error) {
+			clock.Advance(step.Takes)
+			if step.Changed {
+				return []spokefeed.Change{{}}, table, nil
+			}
 			return nil, table, nil
 		},
 		ReadersFunc: func() ([]string, bool) { return []string{"a", "b"}[:len(step.Relays)], false },
@@ -83,5 +96,8 @@
 		require.NoError(t, err, "step %d", i+1)
 		position = next
 		require.Equal(t, s.From, position.Relay, "step %d", i+1)
+		if s.ReadAgo != nil {
+			require.Equal(t, *s.ReadAgo, clock.Clock().Now()-position.ReadAt, "step %d", i+1)
+		}
 	}
 }
