peer: a request to a peer ends with its context, also while it can't be written

A reader that no longer reads its connection, with the buffers full of heartbeats, held up each of its followers until TCP gave up, up to three seconds beyond the 1.2 s that a poll through a relay may take; news of leaving servers waited that long. The same held for the handshake and the fetch of a configuration.

Requests now run beside a wait for the end of the context. TestFrozenPeer, "a request that can't be written", failed before: 2.0 s for a timeout of 0.3 s.

--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -119,8 +119,8 @@
 func (l *link) handshake(ctx context.Context, rpc *jsonrpc2.Conn) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	var response Hello
-	if err := rpc.Call(ctx, methodHello, l.node.helloMessage(), &response); err != nil {
+	response, err := call[Hello](ctx, rpc, methodHello, l.node.helloMessage())
+	if err != nil {
 		return false
 	}
 	l.node.View.MergeDataCentres(response.DataCentres)
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -274,8 +274,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	ctx, span := spoketrace.StartSpan(ctx, "peer "+methodAttemptState)
-	var response AttemptResponse
-	err := n.callOnce(ctx, identity, methodAttemptState, AttemptRequest{AttemptID: attempt}, &response)
+	response, err := n.requestAttemptState(ctx, identity, AttemptRequest{AttemptID: attempt})
 	span.End(err)
 	if err != nil {
 		return "", spokeerror.New("query attempt state", KindUnreachable, err)
@@ -286,33 +285,55 @@
 // TableChanges requests the changes of a table from a peer, on the link to it. It
 // returns an error of kind KindUnreachable.
 func (n *Node) TableChanges(ctx context.Context, peer string, request spokefeed.RelayRequest) (spokefeed.RelayUpdate, error) {
-	var update spokefeed.RelayUpdate
 	n.mutex.Lock()
 	l := n.links[peer]
 	n.mutex.Unlock()
 	if l == nil {
-		return update, spokeerror.Newf("read table from peer", KindUnreachable, "there is no link to %s", peer)
+		return spokefeed.RelayUpdate{}, spokeerror.Newf("read table from peer", KindUnreachable, "there is no link to %s", peer)
 	}
 	rpc := l.rpc.Load()
 	if rpc == nil {
-		return update, spokeerror.Newf("read table from peer", KindUnreachable, "the link to %s is not open", peer)
+		return spokefeed.RelayUpdate{}, spokeerror.Newf("read table from peer", KindUnreachable, "the link to %s is not open", peer)
 	}
-	if err := rpc.Call(ctx, methodTableChanges, request, &update); err != nil {
+	update, err := call[spokefeed.RelayUpdate](ctx, rpc, methodTableChanges, request)
+	if err != nil {
 		return update, spokeerror.New("read table from peer", KindUnreachable, err)
 	}
 	return update, nil
 }
 
-// callOnce sends one request to a peer on a connection of its own.
-func (n *Node) callOnce(ctx context.Context, identity spokemember.Identity, method string, request, response any) error {
+// call sends a request and returns the response. It returns when ctx ends, also while
+// the request can't be written because the peer doesn't read.
+func call[Response any](ctx context.Context, rpc *jsonrpc2.Conn, method string, request any) (Response, error) {
+	type result struct {
+		response Response
+		err      error
+	}
+	results := make(chan result, 1)
+	go func() {
+		var r result
+		r.err = rpc.Call(ctx, method, request, &r.response)
+		results <- r
+	}()
+	select {
+	case r := <-results:
+		return r.response, r.err
+	case <-ctx.Done():
+		var none Response
+		return none, ctx.Err()
+	}
+}
+
+// requestAttemptState requests the state of an attempt on a connection of its own.
+func (n *Node) requestAttemptState(ctx context.Context, identity spokemember.Identity, request AttemptRequest) (AttemptResponse, error) {
 	dialer := net.Dialer{}
 	conn, err := dialer.DialContext(ctx, "tcp", identity.Address)
 	if err != nil {
-		return err
+		return AttemptResponse{}, err
 	}
 	rpc := n.serveConn(ctx, conn)
 	defer func() { _ = rpc.Close() }()
-	return rpc.Call(ctx, method, request, response)
+	return call[AttemptResponse](ctx, rpc, methodAttemptState, request)
 }
 
 // fetchConfig fetches a newer configuration from a peer. If it changes the one in
@@ -324,8 +345,8 @@
 	defer n.fetchingConfig.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	var delta spokeconfig.Delta
-	if err := rpc.Call(ctx, methodConfigSince, ConfigRequest{SinceRevision: n.Store.Revision()}, &delta); err != nil {
+	delta, err := call[spokeconfig.Delta](ctx, rpc, methodConfigSince, ConfigRequest{SinceRevision: n.Store.Revision()})
+	if err != nil {
 		return
 	}
 	changed, err := n.Store.Merge(delta)
