--- a/spokefeed/follower_test.go
+++ b/spokefeed/follower_test.go
@@ -33,8 +33,10 @@
 	// Set and Removed are the keys of the changed rows.
 	Set     []string `yaml:"set"`
 	Removed []string `yaml:"gone"`
-	// Want has the keys of the copy after the step.
-	Want []string `yaml:"want"`
+	// Want has the keys of the copy after the step, Relayed those that its relay passes
+	// on. Without Relayed it is not checked.
+	Want    []string  `yaml:"want"`
+	Relayed *[]string `yaml:"relayed"`
 }
 
 type followCase struct {
@@ -57,17 +59,18 @@
 	var current followStep
 	era := spoketable.Era(1)
 	copied := map[string]spoketable.Row{}
+	relay := &spokefeed.Relay{Clock: clock.Clock()}
 	f := &spokefeed.Follower{
-		TableName: "table", RowsExpire: c.RowsExpire, Clock: clock.Clock(), Log: zerolog.Nop(),
+		Relay: relay, TableName: "table", RowsExpire: c.RowsExpire, Clock: clock.Clock(), Log: zerolog.Nop(),
 		ReadAllFunc: func(context.Context) ([]spoketable.Row, spokefeed.Position, error) {
 			if current.Down || current.Unanswered {
 				return nil, spokefeed.Position{}, spokeerror.New("read", spokefeed.KindUnavailable, nil)
 			}
-			return rowsOf(current.Table), spokefeed.Position{Era: era, Version: 1}, nil
+			return rowsOf(current.Table), spokefeed.Position{Era: era, Version: 1, ReadAt: clock.Clock().Now()}, nil
 		},
 		ChangesFunc: func(context.Context, spokefeed.Position, spokeclock.Millis) ([]spokefeed.Change, spokefeed.Position, error) {
 			changes, err := current.changes()
-			return changes, spokefeed.Position{Era: era, Version: 2}, err
+			return changes, spokefeed.Position{Era: era, Version: 2, ReadAt: clock.Clock().Now()}, err
 		},
 		RowsChangedFunc: func(rows map[string]spoketable.Row) { copied = rows },
 	}
@@ -79,7 +82,21 @@
 		clock.Advance(step.Advance)
 		require.Equal(t, !step.Down, f.Poll(context.Background()), "step %d", i+1)
 		require.ElementsMatch(t, step.Want, slices.Collect(maps.Keys(copied)), "step %d", i+1)
+		if step.Relayed != nil {
+			require.ElementsMatch(t, *step.Relayed, relayedKeys(t, relay), "step %d", i+1)
+		}
+	}
+}
+
+// relayedKeys returns the keys that a relay passes on.
+func relayedKeys(t *testing.T, relay *spokefeed.Relay) []string {
+	update, err := relay.Changes(context.Background(), spokefeed.RelayRequest{Generation: -1})
+	require.NoError(t, err)
+	var keys []string
+	for _, row := range update.Rows {
+		keys = append(keys, row.Key)
 	}
+	return keys
 }
 
 func (s followStep) changes() ([]spokefeed.Change, error) {
