feed: a relay leaves out rows that its follower keeps past their removal

Cause: after an outage a reader keeps removed rows for 1.5 s, as they may only have lapsed, and it passed its copy on with them under the newest position. Its followers had read the table elsewhere meanwhile, had applied the removals, and took the servers back. The class: an assumption that one process may make for itself was passed on as fact.

Of what callers see it needs a server that leaves without saying so, in a data centre of six instances or more.

Change: a relay passes on the rows of the table, without those that are only kept. Each follower applies its own grace to removals, through a relay as without one, by what it has itself seen of an outage. A follower of a relay compares a restored table with its copy as a whole, as a direct reader does; otherwise the rows that a restore has forgotten would be gone at once.

TestSharedReader, "the store is restored", fails without the comparison as a whole and passed before.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -192,11 +192,7 @@
 	case err == nil:
 		f.recordAnswer()
 		f.position = position
-		due := f.Clock.Now()
-		if position.Relay == "" {
-			due = f.removalDue(changes)
-		}
-		f.applyChanges(changes, due)
+		f.applyChanges(changes, f.removalDue(changes))
 		f.confirmRelay()
 		return true
 	case spokeerror.KindOf[Kind](err) == KindSourceChanged:
@@ -354,14 +350,24 @@
 			changed = true
 		}
 	}
-	if !f.applyPending(now) && !changed {
-		return
+	changed = f.applyPending(now) || changed
+	if f.Relay != nil && (changed || len(changes) > 0) {
+		f.Relay.set(f.relayedRows())
+	}
+	if changed {
+		f.RowsChangedFunc(maps.Clone(f.rows))
 	}
+}
+
+// relayedRows returns the rows to pass on. Those that are kept although they were
+// removed are left out: a follower of the relay that has applied their removal would
+// otherwise take them back, and one that has not keeps them for a time of its own.
+func (f *Follower) relayedRows() map[string]spoketable.Row {
 	rows := maps.Clone(f.rows)
-	if f.Relay != nil {
-		f.Relay.set(rows)
+	for key := range f.pendingRemovals {
+		delete(rows, key)
 	}
-	f.RowsChangedFunc(rows)
+	return rows
 }
 
 // applyPending applies the pending removals and returns that are due, and reports
--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -107,6 +107,13 @@
 	if err != nil {
 		return nil, after, spokeerror.New("read feed", KindSourceChanged, err)
 	}
+	if update.Position.Era > after.Era && !update.IsWhole {
+		// The follower compares a restored table with its copy as a whole.
+		update, err = u.callRelay(ctx, peer, RelayRequest{Table: u.TableName})
+		if err != nil {
+			return nil, after, spokeerror.New("read feed", KindSourceChanged, err)
+		}
+	}
 	if update.IsWhole {
 		if update.Position.isBehind(u.position) {
 			u.avoid(peer)
