quarantine, peer, platform: fewer messages about crashes among many instances

Change: news of a peer go on only to links that its own don't reach, through gateways to other data centres and from there to all inside; among linked instances nothing is passed on. A known answer is told from the second crash on, as one is far from a bar. The end of a bar is logged as well.

--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -189,7 +189,7 @@
 	if l.node.Quarantine == nil {
 		return true
 	}
-	news, last, hasMore := l.node.Quarantine.NewsSince(l.sentQuarantine)
+	news, last, hasMore := l.node.Quarantine.NewsSince(l.sentQuarantine, l.node.isLinkedToAll(l.target.DataCentre))
 	l.sentQuarantine = last
 	if len(news.Parts) == 0 {
 		return true
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -133,11 +133,18 @@
 
 func (s *session) handleQuarantine(news spokequarantine.News) (any, error) {
 	if s.node.Quarantine != nil {
-		s.node.Quarantine.Merge(news)
+		peer, _ := s.node.View.Lookup(s.peer)
+		s.node.Quarantine.Merge(news, s.node.isLinkedToAll(peer.DataCentre))
 	}
 	return struct{}{}, nil
 }
 
+// isLinkedToAll reports whether an instance of a data centre is linked to the same
+// instances as this one.
+func (n *Node) isLinkedToAll(dataCentre string) bool {
+	return n.View.IsFullMesh() || dataCentre == n.View.Self.DataCentre
+}
+
 // peerLabel returns how log messages name a peer.
 func peerLabel(target spokemember.Identity) string {
 	return target.DataCentre + "/" + target.Name
--- a/spokequarantine/news.go
+++ b/spokequarantine/news.go
@@ -37,23 +37,30 @@
 }
 
 // NewsSince returns the suspects that have changed after a sequence number, the
-// earliest changes first, and the number of the last one that is included. There is
-// more if that isn't the number of the last change.
-func (q *Quarantine) NewsSince(sequence int64) (news News, last int64, hasMore bool) {
+// earliest changes first, and the number up to which they are included. A peer of this
+// data centre, for which isLocal is set, isn't told what others of it have told here. With
+// zero, all are returned.
+func (q *Quarantine) NewsSince(sequence int64, isLocal bool) (news News, last int64, hasMore bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	sequenceOf := func(part string) int64 {
+		if s := q.suspects[part]; isLocal && sequence > 0 {
+			return s.localSequence
+		}
+		return q.suspects[part].sequence
+	}
 	var changed []string
-	for part, s := range q.suspects {
-		if s.sequence > sequence {
+	for part := range q.suspects {
+		if sequenceOf(part) > sequence {
 			changed = append(changed, part)
 		}
 	}
-	slices.SortFunc(changed, func(a, b string) int { return cmp.Compare(q.suspects[a].sequence, q.suspects[b].sequence) })
+	slices.SortFunc(changed, func(a, b string) int { return cmp.Compare(sequenceOf(a), sequenceOf(b)) })
 	hasMore = len(changed) > maxNewsParts
 	last = q.sequence
 	if hasMore {
 		changed = changed[:maxNewsParts]
-		last = q.suspects[changed[maxNewsParts-1]].sequence
+		last = sequenceOf(changed[maxNewsParts-1])
 	}
 	now := q.Clock.Now()
 	for _, part := range changed {
@@ -76,26 +83,31 @@
 	return news
 }
 
-// Merge adds what a peer knows. What is new goes on to the other peers.
-func (q *Quarantine) Merge(news News) {
+// Merge adds what a peer knows. IsLocal is whether the peer is linked to all instances
+// of this data centre, so that what is new goes on to others only.
+func (q *Quarantine) Merge(news News, isLocal bool) {
 	now := q.Clock.Now()
 	q.update(func() {
 		for _, p := range news.Parts {
 			if len(p.Part) > maxPartBytes {
 				continue
 			}
-			if s := q.suspectOf(p.Part, now); s != nil && q.mergePart(s, p, now) {
-				q.recordChange(s)
+			s := q.suspectOf(p.Part, now)
+			if s == nil {
+				continue
+			}
+			isNews, contradicts := q.mergePart(s, p, now)
+			if isNews || contradicts {
+				q.recordChange(s, contradicts || !isLocal)
 			}
 		}
 	})
 }
 
-// mergePart adds a peer's news to a suspect and reports whether other peers should
-// learn of the result. The bar of a peer holds here unless an answer is known, which
-// the peer may not have heard of.
-func (q *Quarantine) mergePart(s *suspect, p PartNews, now spokeclock.Millis) bool {
-	isNews := false
+// mergePart adds a peer's news to a suspect. It reports whether they are new here, and
+// whether they contradict what is known here. The bar of a peer holds unless an answer
+// is known, which the peer may not have heard of.
+func (q *Quarantine) mergePart(s *suspect, p PartNews, now spokeclock.Millis) (isNews, contradicts bool) {
 	if p.AnsweredAge > 0 {
 		isNews = s.applyAnswer(now - p.AnsweredAge)
 	}
@@ -106,12 +118,21 @@
 		isNews = s.addCrash(crashRecord{server: c.Server, request: c.Request, at: now - max(0, c.Age)}) || isNews
 	}
 	if s.isAnswered {
-		return isNews || p.AnsweredAge == 0
+		return isNews, s.contradicts(p, now)
 	}
 	until := now + min(p.BarredFor, barDuration)
 	if p.BarredFor > 0 && (!s.isBarredAt(now) || until-s.barredUntil > spokeclock.Second) {
 		s.barUntil(until)
 		isNews = true
 	}
-	return isNews
+	return isNews, false
+}
+
+// contradicts reports whether a peer may bar a part because it doesn't know of an answer
+// that is known here.
+func (s *suspect) contradicts(p PartNews, now spokeclock.Millis) bool {
+	if len(p.Crashes) < newsCrashes {
+		return false
+	}
+	return p.AnsweredAge == 0 || slices.ContainsFunc(p.Crashes, func(c CrashNews) bool { return now-c.Age <= s.answeredAt })
 }
--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -17,6 +17,9 @@
 	// minCrashesAnswered is the same for a part under which answers were complete
 	// before, as other requests of its servers may be the cause.
 	minCrashesAnswered = 6
+	// newsCrashes is the number of crashes from which peers are told of an answer that
+	// speaks against them.
+	newsCrashes = minCrashes - 1
 	// minCrashGap is the time between two crashes that count both. Servers that fail
 	// at the same moment have another cause in common.
 	minCrashGap = 200 * spokeclock.Millis(1)
@@ -62,9 +65,9 @@
 	Clock *spokeclock.Clock
 	// ChangedFunc is called when there is news for peers. It may be nil.
 	ChangedFunc func()
-	// BarredFunc is called when a part is barred, with the number of its crashes. It
-	// may be nil.
-	BarredFunc func(part string, crashes int)
+	// BarChangedFunc is called when a part is barred, with the number of its crashes, or
+	// free again because an answer was complete. It may be nil.
+	BarChangedFunc func(part string, isBarred bool, crashes int)
 
 	mutex    sync.Mutex
 	suspects map[string]*suspect
@@ -85,8 +88,12 @@
 	answeredAt  spokeclock.Millis
 	isBarred    bool
 	barredUntil spokeclock.Millis
-	// sequence is the number of the last change.
-	sequence int64
+	// isReported is whether BarChangedFunc was last called for a bar.
+	isReported bool
+	// sequence is the number of the last change, localSequence that of the last one that
+	// the peers of this data centre haven't heard of elsewhere.
+	sequence      int64
+	localSequence int64
 }
 
 // crashRecord is one crash. The server and the request are hashes.
@@ -106,7 +113,7 @@
 				continue
 			}
 			if s := q.suspectOf(part, now); s != nil && s.addCrash(record) {
-				q.recordChange(s)
+				q.recordChange(s, true)
 			}
 		}
 	})
@@ -123,7 +130,7 @@
 			}
 			q.rememberAnswer(part, now)
 			if s := q.suspects[part]; s != nil && s.applyAnswer(now) {
-				q.recordChange(s)
+				q.recordChange(s, true)
 			}
 		}
 	})
@@ -179,19 +186,14 @@
 	}
 	changeFunc()
 	hasChanged := q.sequence != before
-	barred := make(map[string]int)
+	var changes []barChange
 	if hasChanged {
-		now := q.Clock.Now()
-		for part, s := range q.suspects {
-			if s.sequence > before && s.bar(now) {
-				barred[part] = s.independentCrashes()
-			}
-		}
+		changes = q.updateBars(before)
 	}
 	q.mutex.Unlock()
-	for part, crashes := range barred {
-		if q.BarredFunc != nil {
-			q.BarredFunc(part, crashes)
+	for _, change := range changes {
+		if q.BarChangedFunc != nil {
+			q.BarChangedFunc(change.part, change.isBarred, change.crashes)
 		}
 	}
 	if hasChanged && q.ChangedFunc != nil {
@@ -199,9 +201,37 @@
 	}
 }
 
-func (q *Quarantine) recordChange(s *suspect) {
+// barChange is the beginning or the end of a bar.
+type barChange struct {
+	part     string
+	isBarred bool
+	crashes  int
+}
+
+// updateBars bars the parts with enough crashes among those that have changed after a
+// sequence number, and returns the bars that have begun or were lifted.
+func (q *Quarantine) updateBars(after int64) []barChange {
+	now := q.Clock.Now()
+	var changes []barChange
+	for part, s := range q.suspects {
+		if s.sequence <= after {
+			continue
+		}
+		s.bar()
+		if isBarred := s.isBarredAt(now); isBarred != s.isReported {
+			s.isReported = isBarred
+			changes = append(changes, barChange{part: part, isBarred: isBarred, crashes: s.independentCrashes()})
+		}
+	}
+	return changes
+}
+
+func (q *Quarantine) recordChange(s *suspect, isNewLocally bool) {
 	q.sequence++
 	s.sequence = q.sequence
+	if isNewLocally {
+		s.localSequence = q.sequence
+	}
 }
 
 // suspectOf returns the suspect of a part. It adds it if there is room after the
@@ -284,31 +314,27 @@
 }
 
 // applyAnswer clears the crashes before an answer and the bar. It reports whether
-// that is news.
+// peers should learn of that: a part with a single crash is far from a bar.
 func (s *suspect) applyAnswer(at spokeclock.Millis) bool {
 	if s.isAnswered && at <= s.answeredAt {
 		return false
 	}
 	before := len(s.crashes)
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crashRecord) bool { return c.at <= at })
-	isNews := s.isBarred || len(s.crashes) < before
+	isNews := s.isBarred || before-len(s.crashes) >= newsCrashes
 	s.isAnswered, s.answeredAt, s.isBarred = true, at, false
 	return isNews
 }
 
-// bar bars the part if it has enough crashes, and reports whether it was not barred
-// before.
-func (s *suspect) bar(now spokeclock.Millis) bool {
+// bar bars the part if it has enough crashes.
+func (s *suspect) bar() {
 	needed := minCrashes
 	if s.isAnswered {
 		needed = minCrashesAnswered
 	}
-	if s.independentCrashes() < needed {
-		return false
+	if s.independentCrashes() >= needed {
+		s.barUntil(s.lastCrashAt() + barDuration)
 	}
-	isNew := !s.isBarredAt(now)
-	s.barUntil(s.lastCrashAt() + barDuration)
-	return isNew
 }
 
 func (s *suspect) isBarredAt(now spokeclock.Millis) bool { return s.isBarred && now < s.barredUntil }
--- a/spokequarantine/quarantine_test.go
+++ b/spokequarantine/quarantine_test.go
@@ -30,7 +30,7 @@
 
 type quarantineCase struct {
 	Name string `yaml:"name"`
-	// Links has a pair of instances each.
+	// Links has a pair of instances each. The first letter of a name is the data centre.
 	Links []string         `yaml:"links"`
 	Steps []quarantineStep `yaml:"steps"`
 }
@@ -116,11 +116,12 @@
 			a, b, _ := strings.Cut(link, " ")
 			for _, ends := range [][2]string{{a, b}, {b, a}} {
 				key := ends[0] + " " + ends[1]
-				news, last, _ := s.instances[ends[0]].NewsSince(s.sent[key])
+				isLocal := ends[0][:1] == ends[1][:1]
+				news, last, _ := s.instances[ends[0]].NewsSince(s.sent[key], isLocal)
 				s.sent[key] = last
 				if len(news.Parts) > 0 {
 					hasSent = true
-					s.instances[ends[1]].Merge(news)
+					s.instances[ends[1]].Merge(news, isLocal)
 				}
 			}
 		}
