--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -103,6 +103,12 @@
 	if peer == "" {
 		return u.readChanges(ctx, after, wait)
 	}
+	return u.relayedChanges(ctx, peer, after, wait)
+}
+
+// relayedChanges reads changes through a relay. If it has all rows instead, it keeps
+// them for ReadAll and returns an error of KindSourceChanged.
+func (u *Upstream) relayedChanges(ctx context.Context, peer string, after Position, wait spokeclock.Millis) ([]Change, Position, error) {
 	update, err := u.callRelay(ctx, peer, RelayRequest{Table: u.TableName, Generation: after.RelayGeneration, Sequence: after.RelaySequence, Wait: wait})
 	if err != nil {
 		return nil, after, spokeerror.New("read feed", KindSourceChanged, err)
