quarantine: no back and forth about parts that are answered

Each message with a crash older than an answer known here was answered, as often as it came, and crashes of parts that all prompts share were taken in again whenever their age had grown on the way.

Change: crashes within two seconds after an answer are not put down to its parts, whoever has seen them, as it was for an instance's own. A known answer is told at most once in that time, except to lift a bar.

--- a/spokequarantine/news.go
+++ b/spokequarantine/news.go
@@ -115,10 +115,10 @@
 		isNews = s.applyAnswer(answeredAt) || isNews
 	}
 	for _, c := range p.Crashes {
-		isNews = s.addCrash(crashRecord{server: c.Server, request: c.Request, at: now - max(0, c.Age)}) || isNews
+		isNews = s.addCrash(crashRecord{server: c.Server, request: c.Request, at: now - max(0, c.Age)}, now) || isNews
 	}
 	if s.isAnswered {
-		return isNews, s.contradicts(p, now)
+		return isNews, s.contradicts(p, now) && (p.BarredFor > 0 || s.mayTell(now))
 	}
 	until := now + min(p.BarredFor, barDuration)
 	if p.BarredFor > 0 && (!s.isBarredAt(now) || until-s.barredUntil > spokeclock.Second) {
--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -94,6 +94,9 @@
 	// the peers of this data centre haven't heard of elsewhere.
 	sequence      int64
 	localSequence int64
+	// isTold is whether peers were told of an answer, and toldAt when they last were.
+	isTold bool
+	toldAt spokeclock.Millis
 }
 
 // crashRecord is one crash. The server and the request are hashes.
@@ -109,10 +112,11 @@
 	record := crashRecord{server: hashOf(crash.Server), request: hashOf(crash.Request), at: now}
 	q.update(func() {
 		for _, part := range crash.Parts {
-			if answeredAt, isAnswered := q.answered[part]; len(part) > maxPartBytes || (isAnswered && now-answeredAt <= recentAnswer) {
+			answeredAt, isAnswered := q.answered[part]
+			if len(part) > maxPartBytes || (isAnswered && now-answeredAt <= recentAnswer) {
 				continue
 			}
-			if s := q.suspectOf(part, now); s != nil && s.addCrash(record) {
+			if s := q.suspectOf(part, now); s != nil && s.addCrash(record, now) {
 				q.recordChange(s, true)
 			}
 		}
@@ -129,7 +133,12 @@
 				continue
 			}
 			q.rememberAnswer(part, now)
-			if s := q.suspects[part]; s != nil && s.applyAnswer(now) {
+			s := q.suspects[part]
+			if s == nil {
+				continue
+			}
+			wasBarred := s.isBarredAt(now)
+			if s.applyAnswer(now) && (wasBarred || s.mayTell(now)) {
 				q.recordChange(s, true)
 			}
 		}
@@ -296,10 +305,10 @@
 	q.answered[part] = at
 }
 
-// addCrash adds a crash unless it is known or older than an answer, and reports
-// whether it did.
-func (s *suspect) addCrash(record crashRecord) bool {
-	if s.isAnswered && record.at <= s.answeredAt {
+// addCrash adds a crash unless it is known, older than an answer or soon after one, and
+// reports whether it did.
+func (s *suspect) addCrash(record crashRecord, now spokeclock.Millis) bool {
+	if s.isAnswered && (record.at <= s.answeredAt || now-s.answeredAt <= recentAnswer) {
 		return false
 	}
 	for _, known := range s.crashes {
@@ -326,6 +335,16 @@
 	return isNews
 }
 
+// mayTell reports whether peers are told of an answer now, at most once within
+// recentAnswer, and records that they are.
+func (s *suspect) mayTell(now spokeclock.Millis) bool {
+	if s.isTold && now-s.toldAt <= recentAnswer {
+		return false
+	}
+	s.isTold, s.toldAt = true, now
+	return true
+}
+
 // bar bars the part if it has enough crashes.
 func (s *suspect) bar() {
 	needed := minCrashes
