feed: a relay's rows and their position change at once

Traced: the reader replaced the rows of its relay and set their position a moment later. A request that waited for changes woke in between and got the removal of z under the era before the restore, so that the follower took it for a removal like any other and applied it without a grace.

The position is now set with the rows.

--- a/spokefeed/export_test.go
+++ b/spokefeed/export_test.go
@@ -13,7 +13,7 @@
 }
 
 // Set replaces the rows.
-func (r *Relay) Set(rows map[string]spoketable.Row) { r.set(rows) }
+func (r *Relay) Set(rows map[string]spoketable.Row) { r.set(rows, r.position) }
 
 // Confirm records that the table has answered.
 func (r *Relay) Confirm(position Position) { r.confirm(position) }
--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -352,7 +352,7 @@
 	}
 	changed = f.applyPending(now) || changed
 	if f.Relay != nil && (changed || len(changes) > 0) {
-		f.Relay.set(f.relayedRows())
+		f.Relay.set(f.relayedRows(), f.position)
 	}
 	if changed {
 		f.RowsChangedFunc(maps.Clone(f.rows))
--- a/spokefeed/follower_test.go
+++ b/spokefeed/follower_test.go
@@ -72,7 +72,14 @@
 			changes, err := current.changes()
 			return changes, spokefeed.Position{Era: era, Version: 2, ReadAt: clock.Clock().Now()}, err
 		},
-		RowsChangedFunc: func(rows map[string]spoketable.Row) { copied = rows },
+		RowsChangedFunc: func(rows map[string]spoketable.Row) {
+			copied = rows
+			// The relay has the position of the rows as soon as it has the rows.
+			update, err := relay.Changes(context.Background(), spokefeed.RelayRequest{Generation: -1})
+			if err == nil {
+				require.Equal(t, era, update.Position.Era)
+			}
+		},
 	}
 	for i, step := range c.Steps {
 		current = step
--- a/spokefeed/relay.go
+++ b/spokefeed/relay.go
@@ -70,10 +70,14 @@
 	changed chan struct{}
 }
 
-// set replaces the rows.
-func (r *Relay) set(rows map[string]spoketable.Row) {
+// set replaces the rows and their position at once: a request that waits for changes
+// must not get new rows under an old position.
+func (r *Relay) set(rows map[string]spoketable.Row, position Position) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if position.Relay == "" {
+		r.position = position
+	}
 	for key, row := range rows {
 		if before, known := r.rows[key]; !known || before.Version != row.Version || before.Era != row.Era || string(before.Value) != string(row.Value) {
 			r.recordChange(key)
