--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -107,7 +107,7 @@
 	c.activeRequests.Add(1)
 	defer c.activeRequests.Add(-1)
 	ctx, span := spoketrace.StartSpan(ctx, "serve request")
-	r := &requestRun{core: c, request: request, callbacks: callbacks, service: c.serviceState(request.Service.Name), startedAt: c.Clock.Now()}
+	r := &requestRun{core: c, request: request, callbacks: callbacks, service: c.serviceState(request.Service.Name), startedAt: c.Clock.Now(), sharedPartKeys: request.sharedPartKeys()}
 	r.sharedPrefixTokens, r.prefixKey = request.sharedPrefix()
 	refusal := r.serve(ctx)
 	r.recordResult(refusal)
--- a/spokecore/quarantine.go
+++ b/spokecore/quarantine.go
@@ -25,7 +25,7 @@
 	if r.core.Quarantine == nil {
 		return nil
 	}
-	bar := r.core.Quarantine.Find(r.request.sharedPartKeys())
+	bar := r.core.Quarantine.Find(r.sharedPartKeys)
 	if bar.Part == "" {
 		return nil
 	}
@@ -36,7 +36,7 @@
 // answer ends with its connection, that is only certain once the server accepts
 // another one.
 func (r *requestRun) recordCompleteAnswer(server spokecloud.Instance) {
-	parts := r.request.sharedPartKeys()
+	parts := r.sharedPartKeys
 	switch {
 	case r.core.Quarantine == nil || len(parts) == 0:
 	case r.isDelimited:
@@ -49,7 +49,7 @@
 // recordBrokenAnswer records the request as a possible cause if the server that has
 // broken off its answer has crashed.
 func (r *requestRun) recordBrokenAnswer(server spokecloud.Instance) {
-	parts := r.request.sharedPartKeys()
+	parts := r.sharedPartKeys
 	isLate := r.answerStartedAt > 0 && r.core.Clock.Now()-r.answerStartedAt > maxCrashDelay
 	if r.core.Quarantine == nil || len(parts) == 0 || isLate || !r.core.Registry.AcceptsRequests(server.Name) {
 		return
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -34,6 +34,8 @@
 	// that the prompt shares with others.
 	sharedPrefixTokens int
 	prefixKey          uint64
+	// sharedPartKeys are the keys of the prompt's parts that others may share.
+	sharedPartKeys []string
 
 	triedServers []string
 	// executions is the number of attempts that ran or may have run.
@@ -107,7 +109,7 @@
 			return r.finalRefusal(ctx, KindQuarantined, cause)
 		}
 		r.core.Counters.countRetry(r.request.isResumable() && r.headWritten)
-		r.core.Log.Info().Str("id", r.request.ID).Str("server", decision.Server()).Int64("ran", r.executions.Load()).Strs("prompt_parts", r.request.sharedPartKeys()).Err(err).Msg("Attempt failed; trying another backend server.")
+		r.core.Log.Info().Str("id", r.request.ID).Str("server", decision.Server()).Int64("ran", r.executions.Load()).Strs("prompt_parts", r.sharedPartKeys).Err(err).Msg("Attempt failed; trying another backend server.")
 	}
 	return r.finalRefusal(ctx, KindServersFailed, lastErr)
 }
@@ -170,7 +172,7 @@
 			refusal.retryAfter = retrySoon
 		}
 	case kind == KindQuarantined:
-		refusal.retryAfter = r.core.Quarantine.Find(r.request.sharedPartKeys()).Remaining
+		refusal.retryAfter = r.core.Quarantine.Find(r.sharedPartKeys).Remaining
 	case kind == KindNoServer:
 		refusal.retryAfter = max(retryLater, r.core.Registry.NextResume(r.request.Service.Name))
 	case refusal.notRun && lastKind == KindNotRun:
@@ -242,5 +244,5 @@
 		return
 	}
 	r.core.Counters.CountResult(r.request.Service.Name, string(refusal.kind))
-	line.Str("kind", string(refusal.kind)).Bool("not_run", refusal.notRun).Int64("after_millis", int64(refusal.retryAfter)).Strs("prompt_parts", r.request.sharedPartKeys()).Err(refusal.cause).Msg("Request refused.")
+	line.Str("kind", string(refusal.kind)).Bool("not_run", refusal.notRun).Int64("after_millis", int64(refusal.retryAfter)).Strs("prompt_parts", r.sharedPartKeys).Err(refusal.cause).Msg("Request refused.")
 }
