platform, core: a second attempt at a server has a connection of its own

Cause: if no other server is left, a refused request goes back to the server that refused it. Both attempts bear the caller's ID, so that a second copy of the first refusal passed for that of the second attempt, which the server was running.

Change: an attempt at a server that got the request before is sent on a connection of its own, on which nothing earlier can arrive.

Figures: one more connection for each such attempt; how often they occur was not measured.

Conclusion: where an ID can't tell two responses apart, the connection has to.

--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
@@ -59,6 +60,7 @@
 	r.answerStartedAt, r.isDelimited = 0, false
 	response, err := r.callbacks.SendAttemptFunc(ctx, Attempt{
 		Server: attempt.Instance(), MovedFrom: movedFrom, TimeLeft: r.timeLeft(), Urgency: r.request.urgency(), LastEventID: r.lastEventID,
+		IsResent: r.isResentTo(attempt.Instance().Name),
 	})
 	if err != nil {
 		if kind := spokeerror.KindOf[Kind](err); kind != KindNoAnswer && kind != KindInvalidAnswer {
@@ -85,6 +87,11 @@
 	return r.forwardAnswer(response, attempt)
 }
 
+// isResentTo reports whether the present attempt is not the first one at a server.
+func (r *requestRun) isResentTo(server string) bool {
+	return slices.Contains(r.triedServers[:len(r.triedServers)-1], server)
+}
+
 // recordOutcome ends the attempt in the registry, as a success or a failure of
 // the server or as neither.
 func (r *requestRun) recordOutcome(ctx context.Context, attempt *spokebackend.Attempt, err error) {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -162,6 +162,8 @@
 	// LastEventID is the ID of the event after which to resume a stream, or
 	// empty.
 	LastEventID string
+	// IsResent is true if the server got an earlier attempt of the same request.
+	IsResent bool
 }
 
 // Response is the head of a backend server's answer, with access to its body.
