platform: run-once requests avoid shared connections to a server that answers twice

What callers saw: 502, outcome unknown, for each run-once request whose place on a kept connection a late response of the server had taken, although the server had answered it.

Cause: the caller's own answer follows behind the late one, but by then nothing on that connection can be trusted.

Repeatable ones are sent again and need none.

--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -60,7 +60,7 @@
 	r.answerStartedAt, r.isDelimited = 0, false
 	response, err := r.callbacks.SendAttemptFunc(ctx, Attempt{
 		Server: attempt.Instance(), MovedFrom: movedFrom, TimeLeft: r.timeLeft(), Urgency: r.request.urgency(), LastEventID: r.lastEventID,
-		IsResent: r.isResentTo(attempt.Instance().Name),
+		IsResent: r.isResentTo(attempt.Instance().Name), RunsOnce: !r.request.isRepeatable(),
 	})
 	if err != nil {
 		if kind := spokeerror.KindOf[Kind](err); kind != KindNoAnswer && kind != KindInvalidAnswer {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -164,6 +164,8 @@
 	LastEventID string
 	// IsResent is true if the server got an earlier attempt of the same request.
 	IsResent bool
+	// RunsOnce is true if the request may run only once.
+	RunsOnce bool
 }
 
 // Response is the head of a backend server's answer, with access to its body.
