quarantine, core: the end of a bar is tried at one instance after the other

Cause: all instances ended a bar in the same millisecond, callers had been told that moment to come back, and nothing limited what was sent before the next crash was known.

Change: each instance ends a bar at a time of its own within eight seconds, then admits one request with the subject at a time until its result is known. The first bar is six seconds instead of ten, so that a sound request is free after ten on average as before. Callers are told the end of their instance's bar.

Conclusion: a bar that nobody has tested ends with a trial, not with a free run.

--- a/spokecore/quarantine.go
+++ b/spokecore/quarantine.go
@@ -23,12 +23,29 @@
 	crashCheckWait = 50 * spokeclock.Millis(1)
 )
 
-// checkQuarantine returns an error if the request or a part of its prompt is barred.
+// admitToQuarantine returns an error if the request or a part of its prompt is barred, or
+// if another request with it is being tried.
+func (r *requestRun) admitToQuarantine() error {
+	if r.core.Quarantine == nil {
+		return nil
+	}
+	bar, isTrial := r.core.Quarantine.Admit(r.subjects)
+	if isTrial {
+		r.core.Log.Info().Str("id", r.request.ID).Str("content", r.request.ContentKey).Strs("prompt_parts", r.sharedPartKeys).Msg("Request is tried after a bar has ended.")
+	}
+	return barError(bar)
+}
+
+// checkQuarantine returns an error if the request, which has been sent to a server, may
+// not be sent to another one. That of a trial may not.
 func (r *requestRun) checkQuarantine() error {
 	if r.core.Quarantine == nil {
 		return nil
 	}
-	bar := r.core.Quarantine.Find(r.subjects)
+	return barError(r.core.Quarantine.Find(r.subjects))
+}
+
+func barError(bar spokequarantine.Bar) error {
 	if bar.Subject == "" {
 		return nil
 	}
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -64,7 +64,7 @@
 // serve applies limits and admission control to the request and tries servers
 // until one has answered it.
 func (r *requestRun) serve(ctx context.Context) *Refusal {
-	if cause := r.checkQuarantine(); cause != nil {
+	if cause := r.admitToQuarantine(); cause != nil {
 		return r.finalRefusal(ctx, KindQuarantined, cause)
 	}
 	refusal := r.applyLimits()
--- a/spokequarantine/news.go
+++ b/spokequarantine/news.go
@@ -19,7 +19,7 @@
 	Crashes []CrashNews `json:"crashes,omitempty"`
 	// AnsweredAge is the time since that answer. Zero means that none is known.
 	AnsweredAge spokeclock.Millis `json:"answered_millis,omitempty"`
-	// BarredFor is the time until the end of the bar, or zero.
+	// BarredFor is the time until the first instance ends the bar, or zero.
 	BarredFor spokeclock.Millis `json:"barred_millis,omitempty"`
 }
 
@@ -48,7 +48,7 @@
 
 func (s *suspect) news(subject Subject, now spokeclock.Millis) SuspectNews {
 	news := SuspectNews{Subject: subject}
-	if s.isBarredAt(now) {
+	if s.isBarred && s.barredUntil > now {
 		news.BarredFor = s.barredUntil - now
 	}
 	if s.isAnswered {
--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -19,11 +19,20 @@
 	barDuration = 5 * 60 * spokeclock.Second
 	// shortBarDuration is the same for a subject with little evidence against it. It is
 	// longer than a server takes to be back.
-	shortBarDuration = 10 * spokeclock.Second
+	shortBarDuration = 6 * spokeclock.Second
 	// recentAnswer is the age of an answer up to which a crash is not put down to
 	// its subjects.
 	recentAnswer = 2 * spokeclock.Second
 
+	// releaseSpread is the time over which instances end their bars of a subject, so that
+	// they don't all try it again at once.
+	releaseSpread = 8 * spokeclock.Second
+	// trialTimeout is the time in which a request that is tried again is known to have
+	// crashed its server, as requests do so when their answers begin.
+	trialTimeout = spokeclock.Second
+	// probation is the time after a bar in which an instance tries one request at a time.
+	probation = 60 * spokeclock.Second
+
 	maxSuspects     = 256
 	maxCrashes      = 16
 	maxSubjectBytes = 128
@@ -51,6 +60,8 @@
 // Quarantine keeps the suspects. Set its fields before the first call. It
 // is safe for concurrent use.
 type Quarantine struct {
+	// InstanceName is the name of this instance. When it ends a bar depends on it.
+	InstanceName string
 	// Clock is the time source. Nil means the system clock.
 	Clock *spokeclock.Clock
 	// ChangedFunc is called when there is news for peers. It may be nil.
@@ -75,10 +86,15 @@
 	crashes []crashRecord
 	// isAnswered is whether an answer is known that was complete, and answeredAt when
 	// the last one was.
-	isAnswered  bool
-	answeredAt  spokeclock.Millis
-	isBarred    bool
-	barredUntil spokeclock.Millis
+	isAnswered bool
+	answeredAt spokeclock.Millis
+	// isBarred is whether a bar has begun that no answer has lifted. It ends for all at
+	// barredUntil, and at this instance releaseDelay later.
+	isBarred     bool
+	barredUntil  spokeclock.Millis
+	releaseDelay spokeclock.Millis
+	// triedUntil is when the result of the last trial is known.
+	triedUntil spokeclock.Millis
 	// isReported is whether BarChangedFunc was last called for a bar.
 	isReported bool
 	// isTold is whether peers were told of an answer, and toldAt when they last were.
@@ -124,27 +140,54 @@
 			if s == nil {
 				continue
 			}
-			wasBarred := s.isBarredAt(now)
-			if s.applyAnswer(now) && (wasBarred || s.mayTell(now)) {
+			wasHeld := s.isBarredAt(now) || s.isOnTrialAt(now)
+			if s.applyAnswer(now) && (wasHeld || s.mayTell(now)) {
 				q.changes.Record(subject, true)
 			}
 		}
 	})
 }
 
-// Find returns the bar of the first barred subject.
+// Find returns the bar of the first subject that is barred or being tried.
 func (q *Quarantine) Find(subjects []Subject) Bar {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	now := q.Clock.Now()
+	return q.find(subjects, q.Clock.Now())
+}
+
+func (q *Quarantine) find(subjects []Subject, now spokeclock.Millis) Bar {
 	for _, subject := range subjects {
-		if s := q.suspects[subject]; s != nil && s.isBarredAt(now) {
-			return Bar{Subject: subject, Remaining: s.barredUntil - now}
+		s := q.suspects[subject]
+		switch {
+		case s == nil:
+		case s.isBarredAt(now):
+			return Bar{Subject: subject, Remaining: s.releaseAt() - now}
+		case s.isOnTrialAt(now) && now < s.triedUntil:
+			return Bar{Subject: subject, Remaining: s.triedUntil - now}
 		}
 	}
 	return Bar{}
 }
 
+// Admit returns the bar that keeps a request from being sent. Without one, it reports
+// whether the request is a trial: a bar of one of its subjects has ended, and no other
+// request with that subject is admitted here until the result is known.
+func (q *Quarantine) Admit(subjects []Subject) (bar Bar, isTrial bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.Clock.Now()
+	if bar := q.find(subjects, now); bar.Subject != "" {
+		return bar, false
+	}
+	for _, subject := range subjects {
+		if s := q.suspects[subject]; s != nil && s.isOnTrialAt(now) {
+			s.triedUntil = now + trialTimeout
+			isTrial = true
+		}
+	}
+	return Bar{}, isTrial
+}
+
 // BarredCounts returns the number of barred parts of prompts and of barred requests.
 func (q *Quarantine) BarredCounts() (parts, requests int) {
 	q.mutex.Lock()
@@ -225,12 +268,18 @@
 	if len(q.suspects) >= maxSuspects {
 		return nil
 	}
-	s := &suspect{rule: subject.rule()}
+	s := &suspect{rule: subject.rule(), releaseDelay: q.releaseDelay(subject)}
 	s.answeredAt, s.isAnswered = q.answers(subject).get(subject)
 	q.suspects[subject] = s
 	return s
 }
 
+// releaseDelay returns how much later than the first instance this one ends a bar of a
+// subject.
+func (q *Quarantine) releaseDelay(subject Subject) spokeclock.Millis {
+	return spokeclock.Millis(hashOf(q.InstanceName+" "+string(subject))) % releaseSpread
+}
+
 // removeOutdated removes the suspects without a bar that had no crash lately. If
 // there are none, it removes the one whose only crash is the oldest.
 func (q *Quarantine) removeOutdated(now spokeclock.Millis) {
@@ -238,7 +287,7 @@
 	oldestAt := now
 	removed := 0
 	for subject, s := range q.suspects {
-		if s.isBarredAt(now) {
+		if s.isBarredAt(now) || s.isOnTrialAt(now) {
 			continue
 		}
 		last := s.lastCrashAt()
@@ -325,7 +374,16 @@
 	}
 }
 
-func (s *suspect) isBarredAt(now spokeclock.Millis) bool { return s.isBarred && now < s.barredUntil }
+// releaseAt returns when the bar ends at this instance.
+func (s *suspect) releaseAt() spokeclock.Millis { return s.barredUntil + s.releaseDelay }
+
+func (s *suspect) isBarredAt(now spokeclock.Millis) bool { return s.isBarred && now < s.releaseAt() }
+
+// isOnTrialAt reports whether the bar has ended by its time, and no answer has shown yet
+// that the subject is harmless.
+func (s *suspect) isOnTrialAt(now spokeclock.Millis) bool {
+	return s.isBarred && now >= s.releaseAt() && now < s.releaseAt()+probation
+}
 
 // barUntil bars the subject until a time, or leaves a bar that ends later.
 func (s *suspect) barUntil(until spokeclock.Millis) {
--- a/spokequarantine/quarantine_test.go
+++ b/spokequarantine/quarantine_test.go
@@ -1,6 +1,8 @@
 package spokequarantine_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -26,6 +28,8 @@
 	Exchange bool `yaml:"exchange"`
 	// Restarted is an instance that starts again with nothing known.
 	Restarted string `yaml:"restarted"`
+	// Admitted is whether a request with the subjects is admitted: yes, no or trial.
+	Admitted string `yaml:"admitted"`
 	// Barred has the barred parts and contents of the instances in At, in order.
 	Barred *string `yaml:"barred"`
 }
@@ -65,7 +69,7 @@
 // start starts an instance, whose clock begins at zero.
 func (s *simulation) start(name string) {
 	startedAt := s.now
-	s.instances[name] = &spokequarantine.Quarantine{Clock: &spokeclock.Clock{NowFunc: func() spokeclock.Millis { return s.now - startedAt }}}
+	s.instances[name] = &spokequarantine.Quarantine{InstanceName: name, Clock: &spokeclock.Clock{NowFunc: func() spokeclock.Millis { return s.now - startedAt }}}
 }
 
 func (s *simulation) run(t *testing.T, c quarantineCase) {
@@ -103,6 +107,9 @@
 	if step.Answer {
 		q.RecordAnswer(subjects)
 	}
+	if step.Admitted != "" {
+		require.Equal(t, step.Admitted, admit(q, subjects), "step %d", i+1)
+	}
 	if step.Barred == nil {
 		return
 	}
@@ -116,6 +123,73 @@
 	require.Equal(t, strings.Fields(*step.Barred), append([]string{}, barred...), "step %d", i+1)
 }
 
+func admit(q *spokequarantine.Quarantine, subjects []spokequarantine.Subject) string {
+	bar, isTrial := q.Admit(subjects)
+	switch {
+	case bar.Subject != "":
+		return "no"
+	case isTrial:
+		return "trial"
+	default:
+		return "yes"
+	}
+}
+
+// releaseCase is a request that crashes each server that runs it and comes at a steady
+// rate, at any of many instances, until after its first bar.
+type releaseCase struct {
+	Instances int               `yaml:"instances"`
+	Every     spokeclock.Millis `yaml:"every_millis"`
+	// News is the time until all instances know of a crash, from when its request is sent.
+	News spokeclock.Millis `yaml:"news_millis"`
+	// MaxCrashes is how many servers may crash after the first bar.
+	MaxCrashes int `yaml:"max_crashes"`
+}
+
+// TestReleasedBar guards against instances that all end a bar at the same moment and send
+// the request to a server each, before any of them knows that it crashes it.
+func TestReleasedBar(t *testing.T) {
+	for _, c := range spokecase.Read[[]releaseCase](t, "testdata/releases.yaml") {
+		t.Run(fmt.Sprintf("%d instances, every %d ms", c.Instances, c.Every), func(t *testing.T) { c.run(t) })
+	}
+}
+
+func (c releaseCase) run(t *testing.T) {
+	now := spokeclock.Second
+	clock := &spokeclock.Clock{NowFunc: func() spokeclock.Millis { return now }}
+	instances := make([]*spokequarantine.Quarantine, c.Instances)
+	for i := range instances {
+		instances[i] = &spokequarantine.Quarantine{InstanceName: fmt.Sprintf("instance-%d", i), Clock: clock}
+	}
+	subjects := []spokequarantine.Subject{spokequarantine.Content("r")}
+	recordCrash := func(server string) {
+		for _, q := range instances {
+			q.RecordCrash(spokequarantine.Crash{Server: server, Request: "r", Subjects: subjects})
+		}
+	}
+	recordCrash("first")
+	now += 100
+	recordCrash("second")
+	// unknown are the servers whose crashes the instances don't know of yet, by the time
+	// of the news.
+	unknown := make(map[spokeclock.Millis]string)
+	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // A seed makes the test repeatable.
+	crashes := 0
+	for ; now < 40*spokeclock.Second; now++ {
+		if server := unknown[now]; server != "" {
+			recordCrash(server)
+		}
+		if now%c.Every != 0 {
+			continue
+		}
+		if bar, _ := instances[random.IntN(len(instances))].Admit(subjects); bar.Subject == "" {
+			crashes++
+			unknown[now+c.News] = fmt.Sprintf("server-%d", crashes)
+		}
+	}
+	require.LessOrEqual(t, crashes, c.MaxCrashes)
+}
+
 // exchange sends news on the links in both directions until nothing is left.
 func (s *simulation) exchange(links []string) {
 	for hasSent := true; hasSent; {
