spokecore: forward only events of the format

What callers saw: text of an error, or a whole second answer with its head, in the middle of a stream, which then ended as if it were complete.

The bytes of a second answer on an answer that ends with its connection, or in the body of one with a length or chunks, end with a blank line too.

Evidence: TestBrokenStream on the code before, 18 runs of six cases, such as a_second_answer_after_a_complete_event/connection: expected: "id: 0\ndata: a\n\n" actual : "id: 0\ndata: a\n\nHTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\nsorry\n\n" text_in_place_of_the_rest/length: actual : "id: 0\ndata: a\n\nout of memory\n\n" TestServe/a_second_answer_in_a_stream_is_not_forwarded_and_ends_the_attempt failed with one attempt instead of two.

Change: each line of an event must be blank, a comment, or one of the format's fields (data, event, id, retry); the platform adds the line that tells the version of the weights. Anything else ends the attempt as an answer that is not the server's, so that the stream is resumed or its connection is broken. Cases with comments, several lines of data, all fields and both line endings, and one with a byte order mark, pass before and after.

Not found this way: a plain answer that ends with its connection and has a second answer behind it. Nothing in it tells the two apart.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
@@ -99,6 +100,8 @@
 	switch {
 	case forwardErr != nil:
 		return forwardErr
+	case spokeerror.KindOf[Kind](err) == KindInvalidAnswer:
+		return err
 	case err != nil:
 		return spokeerror.New("read events", KindNoAnswer, err)
 	case !r.headWritten:
@@ -130,11 +133,14 @@
 
 // ReadEvents returns an iterator over the server-sent events of a body. It calls
 // handle with each complete event and stops at the first error of the body or
-// of handle. A body that ends inside an event ends with io.ErrUnexpectedEOF.
-func ReadEvents(body io.Reader) func(handle func(Event) error) error {
+// of handle. A body that ends inside an event ends with io.ErrUnexpectedEOF. Text
+// that is no event, such as a second answer in a stream, ends it with an error of kind
+// KindInvalidAnswer. ExtraFields are the fields that events may have besides those of
+// the format.
+func ReadEvents(body io.Reader, extraFields ...string) func(handle func(Event) error) error {
 	return func(handle func(Event) error) error {
 		events := eventReader{source: body}
-		for {
+		for prefix := byteOrderMark; ; prefix = nil {
 			raw, err := events.next()
 			if errors.Is(err, io.EOF) {
 				return nil
@@ -142,13 +148,20 @@
 			if err != nil {
 				return err
 			}
-			if err := handle(Event{ID: eventID(raw), Raw: raw}); err != nil {
+			lines := bytes.TrimPrefix(raw, prefix)
+			if err := checkFields(lines, extraFields); err != nil {
+				return err
+			}
+			if err := handle(Event{ID: eventID(lines), Raw: raw}); err != nil {
 				return err
 			}
 		}
 	}
 }
 
+// byteOrderMark may precede the first event of a stream.
+var byteOrderMark = []byte("\xEF\xBB\xBF")
+
 const eventBufferBytes = 4 << 10
 
 var errEventTooLong = errors.New("the event has no end within the limit")
@@ -215,6 +228,25 @@
 	return e.readErr
 }
 
+// checkFields returns an error of kind KindInvalidAnswer if a line of an event is
+// neither blank nor a comment nor one of the known fields.
+func checkFields(event []byte, extraFields []string) error {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "", "data", "event", "id", "retry":
+			continue
+		}
+		if !slices.Contains(extraFields, string(name)) {
+			return spokeerror.Newf("read events", KindInvalidAnswer, "%.*q is no field of an event", maxFieldExcerpt, name)
+		}
+	}
+	return nil
+}
+
+// maxFieldExcerpt bounds what an error quotes of a line that is no field.
+const maxFieldExcerpt = 64
+
 // eventID returns the ID of an event, or "" if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
