spokecore: a stream may end with blank lines

What callers saw: a complete stream with a blank line after its last event was resumed, or its connection was broken.

Cause: what followed the last event counted as an event without its end, also if it was blank.

Evidence: TestBrokenStream/blank_lines_before,_between_and_after_events on the code before, in each framing: expected: "...id: 2\r\ndata: b\r\n\r\n\r\n" actual : "...id: 2\r\ndata: b\r\n\r\n" and a broken connection

Change: blank lines at the end of a body are forwarded like a comment.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -210,6 +210,11 @@
 		if len(e.buffered) > maxEventBytes {
 			return nil, errEventTooLong
 		}
+		if e.endsWithBlankLines() {
+			event := e.buffered
+			e.buffered, e.lineStart = nil, 0
+			return event, nil
+		}
 		if e.readErr != nil {
 			return nil, e.finalError()
 		}
@@ -219,6 +224,11 @@
 	}
 }
 
+// endsWithBlankLines reports whether only blank lines are left of a body that has ended.
+func (e *eventReader) endsWithBlankLines() bool {
+	return errors.Is(e.readErr, io.EOF) && len(e.buffered) > 0 && len(bytes.Trim(e.buffered, "\r\n")) == 0
+}
+
 // finalError returns the error that ended the body, or io.ErrUnexpectedEOF if
 // it ended inside an event.
 func (e *eventReader) finalError() error {
