spokecore: the IDs of a stream's events increase

What callers saw: a backend server that took over a stream repeated an event that they had, or started again from the first one, so that events came twice and two runs were joined.

Cause: the ID of an event was sent to the next server, but what came back was not compared with it.

Change: an event whose ID is not above the last one ends the attempt as an answer that is not the server's. On routes whose streams may be resumed, the caller's own Last-Event-Id counts as the last one. IDs that are no whole numbers are only compared for equality; numbers may be skipped, as nothing says that they are consecutive, so a server that leaves out events is not found.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -115,6 +115,9 @@
 // it is the first.
 func (r *requestRun) forwardEvent(response *Response, event Event, w *watchdog) error {
 	r.recordExecutionStart()
+	if (r.headWritten || r.request.isResumable()) && !event.follows(r.lastEventID) {
+		return spokeerror.Newf("read events", KindInvalidAnswer, "event %.*q follows event %.*q", maxExcerpt, event.ID, maxExcerpt, r.lastEventID)
+	}
 	r.eventCount.Add(1)
 	if !r.headWritten {
 		r.headWritten = true
@@ -248,14 +251,14 @@
 			continue
 		}
 		if !slices.Contains(extraFields, string(name)) {
-			return spokeerror.Newf("read events", KindInvalidAnswer, "%.*q is no field of an event", maxFieldExcerpt, name)
+			return spokeerror.Newf("read events", KindInvalidAnswer, "%.*q is no field of an event", maxExcerpt, name)
 		}
 	}
 	return nil
 }
 
-// maxFieldExcerpt bounds what an error quotes of a line that is no field.
-const maxFieldExcerpt = 64
+// maxExcerpt bounds in characters what an error quotes of a stream.
+const maxExcerpt = 64
 
 // eventID returns the ID of an event, or "" if it has none.
 func eventID(event []byte) string {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strconv"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
@@ -208,6 +209,20 @@
 	return true
 }
 
+// follows reports whether the event may come after the one with the given ID in a
+// stream, whose IDs increase. IDs that are no whole numbers can't be ordered.
+func (e Event) follows(lastID string) bool {
+	if e.ID == "" || lastID == "" {
+		return true
+	}
+	id, err := strconv.ParseUint(e.ID, 10, 64)
+	last, lastErr := strconv.ParseUint(lastID, 10, 64)
+	if err != nil || lastErr != nil {
+		return e.ID != lastID
+	}
+	return id > last
+}
+
 // Callbacks connect the core to the front for one request. They are called from
 // one goroutine.
 type Callbacks struct {
