spokecore: a stream is resumed only after an event with an ID

What callers saw: events twice. A stream without IDs, or whose last event had none, broke off; the next backend server began from the start, or after the last event that had an ID, and its events were forwarded behind those that the caller had.

Cause: without an ID the next attempt was sent without Last-Event-Id, or with that of an earlier event, as if nothing had been forwarded since.

Evidence: TestBrokenStream on the code before, six runs of two cases, such as a_stream_without_IDs_can't_be_resumed/length: expected: "data: a\n\n" actual : "data: a\n\ndata: a\n\ndata: b\n\n" TestServe/a_stream_whose_last_event_has_no_ID_is_not_resumed: more attempts than the script has.

Change: after an event without an ID no other server is tried, and the answer isn't moved, until the next event has one. Comments count for nothing. The product's own interface gives its tokens their index as an ID; this also keeps a token that begins with a colon from being taken for a comment.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -119,6 +119,9 @@
 		return spokeerror.Newf("read events", KindInvalidAnswer, "event %.*q follows event %.*q", maxExcerpt, event.ID, maxExcerpt, r.lastEventID)
 	}
 	r.eventCount.Add(1)
+	if !event.isComment() {
+		r.cannotResume.Store(event.ID == "")
+	}
 	if !r.headWritten {
 		r.headWritten = true
 		r.callbacks.WriteHeadFunc(response, -1)
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -192,7 +192,7 @@
 // Event is one complete event of an answer.
 type Event struct {
 	// ID is the ID after which the stream can be resumed. It is empty if the
-	// event has none.
+	// event has none, so that the stream can't be resumed until the next one has.
 	ID string
 	// Raw is the text of the event as it is forwarded.
 	Raw []byte
@@ -201,6 +201,9 @@
 // isComment reports whether the event has only comment lines, which must not make
 // a stalled stream look alive.
 func (e Event) isComment() bool {
+	if e.ID != "" {
+		return false
+	}
 	for line := range bytes.Lines(e.Raw) {
 		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
 			return false
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -51,8 +51,11 @@
 	answerStartedAt spokeclock.Millis
 	// isDelimited is whether the end of the present attempt's answer can't be mistaken
 	// for a lost connection.
-	isDelimited   bool
-	lastEventID   string
+	isDelimited bool
+	lastEventID string
+	// cannotResume is whether the caller has something after which no other server can
+	// go on.
+	cannotResume  atomic.Bool
 	firstEventAt  atomic.Int64
 	prefillTokens int
 	eventCount    atomic.Int64
@@ -143,7 +146,7 @@
 // after a failed attempt, and if so takes a retry from the budget unless the
 // kind of the error needs none.
 func (r *requestRun) allowNextServer(err error) bool {
-	if r.headWritten && !r.request.isResumable() {
+	if r.headWritten && (!r.request.isResumable() || r.cannotResume.Load()) {
 		return false
 	}
 	switch spokeerror.KindOf[Kind](err) {
@@ -160,7 +163,7 @@
 
 // canRunAgain reports whether one more server may run the request.
 func (r *requestRun) canRunAgain() bool {
-	return r.request.isRepeatable() && int(r.executions.Load()) < r.request.maxAttempts()
+	return r.request.isRepeatable() && !r.cannotResume.Load() && int(r.executions.Load()) < r.request.maxAttempts()
 }
 
 // finalRefusal returns the refusal of a request that is not tried again.
--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 
 	"mulberryspoke.example/mulberryspoke/gen/types"
@@ -151,7 +152,7 @@
 		g.finishReason = event.FinishReason
 		return nil
 	}
-	return forward(spokecore.Event{Raw: []byte(event.Token)})
+	return forward(spokecore.Event{ID: strconv.Itoa(event.Index), Raw: []byte(event.Token)})
 }
 
 // importCache makes the new server import the KV cache of the interrupted attempt.
