spokecore: a connection that ends at once doesn't complete a stream

What callers saw: a stream broke off, the server that took it over lost its connection after the head of its answer, and the stream ended as if it were complete.

Cause: a resumed answer without an event counted as the end of the stream in every framing. With a length or chunks the server says so itself: nothing is left after the last event. Without them the head is all that it sent.

Evidence: TestBrokenStream/the_end_of_a_connection_doesn't_show_that_nothing_is_left_of_ a_stream/connection on the code before: expected: true (a broken connection) actual : false

Change: a resumed stream that ends with its connection and without an event counts as broken. nothing_is_left_of_a_stream_that_lost_its_end passes as before with a length and with chunks.

Not changed: a stream that ends with its connection, by FIN and after a whole event, counts as complete, as the protocol gives no other sign. A reset counts as broken (a_stream_that_is_reset_between_two_events).

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -106,6 +106,8 @@
 		return spokeerror.New("read events", KindNoAnswer, err)
 	case !r.headWritten:
 		return spokeerror.Newf("read events", KindNoAnswer, "the event stream ended without an event")
+	case isFirst && response.EndsWithConnection:
+		return spokeerror.Newf("read events", KindNoAnswer, "the connection of the resumed stream ended without an event")
 	default:
 		return nil
 	}
