spokecore: no other server continues an answer that is no stream

What callers saw: a long answer (over 256 KB, so that it is forwarded before its end) on a route of resumable streams broke off, and the events of the next backend server followed in the same body. A long answer on an idempotent route was cut off, with a sound server, once the server had been silent for three latency targets.

Cause: whether another server may go on was asked of the route alone, not of what had been forwarded. The watchdog and removals also ask it before they cancel an attempt.

Evidence: TestBrokenStream/a_long_answer_that_breaks_off_is_not_followed_by_a_stream on the code before, in each framing: expected: "" actual : "id: 0\ndata: a\n\n" after the 300,000 bytes of the answer TestServe/a_long_answer_that_has_begun_stays_at_a_silent_server: expected: "end" actual : "" after the 300,000 bytes

Change: once part of an answer that is no event stream was forwarded, no other server is tried and the attempt isn't cancelled to move it.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -44,6 +44,7 @@
 		length = -1
 	}
 	r.headWritten = true
+	r.cannotResume.Store(true)
 	r.callbacks.WriteHeadFunc(response, length)
 	if err := r.callbacks.WriteBodyFunc(buffered); err != nil {
 		return spokeerror.New("write answer to caller", KindCallerGone, err)
--- a/spokecore/core_test.go
+++ b/spokecore/core_test.go
@@ -33,6 +33,10 @@
 	// Body is the body of the answer. Cut means that the connection then breaks.
 	Body string `yaml:"body"`
 	Cut  bool   `yaml:"cut"`
+	// Padding is the number of bytes that precede the body, and Stall the time
+	// between the two.
+	Padding int               `yaml:"padding"`
+	Stall   spokeclock.Millis `yaml:"stall_millis"`
 	// Recorded means that the front replays a recorded answer.
 	Recorded bool `yaml:"recorded"`
 	// From is the ID of the event after which the attempt must resume.
@@ -55,8 +59,9 @@
 	// time after which the servers appear.
 	WaitTimeout spokeclock.Millis `yaml:"patience_millis"`
 	AppearAfter spokeclock.Millis `yaml:"come_after_millis"`
-	// Got is what the caller receives.
-	Got string `yaml:"got"`
+	// Got is what the caller receives, after Padding bytes.
+	Got     string `yaml:"got"`
+	Padding int    `yaml:"padding"`
 	// Refused is the kind of the refusal, empty if the answer is complete.
 	Refused spokecore.Kind `yaml:"refused"`
 	NotRun  bool           `yaml:"not_run"`
@@ -103,7 +108,9 @@
 		},
 	})
 	require.Equal(t, len(c.Answers), sent, "attempts")
-	require.Equal(t, c.Got, got.String())
+	text := strings.TrimLeft(got.String(), "x")
+	require.Equal(t, c.Got, text)
+	require.Equal(t, c.Padding, got.Len()-len(text), "padding")
 	require.Equal(t, c.Started, started, "begun")
 	c.checkError(t, err)
 }
@@ -130,6 +137,9 @@
 		return nil, spokeerror.New("send", b.Error, nil)
 	}
 	body := io.Reader(strings.NewReader(b.Body))
+	if b.Padding > 0 {
+		body = io.MultiReader(strings.NewReader(strings.Repeat("x", b.Padding)), stallingReader{ctx: ctx, stall: b.Stall}, body)
+	}
 	if b.Cut {
 		body = io.MultiReader(body, brokenReader{})
 	}
@@ -140,6 +150,20 @@
 	return response, nil
 }
 
+// stallingReader is a part of a body that takes its time and has no bytes.
+type stallingReader struct {
+	ctx   context.Context //nolint:containedctx // The context of the attempt ends the stall.
+	stall spokeclock.Millis
+}
+
+// Read implements io.Reader.
+func (s stallingReader) Read([]byte) (int, error) {
+	if err := spokeclock.Sleep(s.ctx, s.stall); err != nil {
+		return 0, err
+	}
+	return 0, io.EOF
+}
+
 // brokenReader is the rest of a body whose connection breaks.
 type brokenReader struct{}
 
