--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
@@ -43,6 +44,7 @@
 		length = -1
 	}
 	r.headWritten = true
+	r.cannotResume.Store(true)
 	r.callbacks.WriteHeadFunc(response, length)
 	if err := r.callbacks.WriteBodyFunc(buffered); err != nil {
 		return spokeerror.New("write answer to caller", KindCallerGone, err)
@@ -99,10 +101,14 @@
 	switch {
 	case forwardErr != nil:
 		return forwardErr
+	case spokeerror.KindOf[Kind](err) == KindInvalidAnswer:
+		return err
 	case err != nil:
 		return spokeerror.New("read events", KindNoAnswer, err)
 	case !r.headWritten:
 		return spokeerror.Newf("read events", KindNoAnswer, "the event stream ended without an event")
+	case isFirst && response.EndsWithConnection:
+		return spokeerror.Newf("read events", KindNoAnswer, "the connection of the resumed stream ended without an event")
 	default:
 		return nil
 	}
@@ -112,7 +118,13 @@
 // it is the first.
 func (r *requestRun) forwardEvent(response *Response, event Event, w *watchdog) error {
 	r.recordExecutionStart()
+	if (r.headWritten || r.request.isResumable()) && !event.follows(r.lastEventID) {
+		return spokeerror.Newf("read events", KindInvalidAnswer, "event %.*q follows event %.*q", maxExcerpt, event.ID, maxExcerpt, r.lastEventID)
+	}
 	r.eventCount.Add(1)
+	if !event.isComment() {
+		r.cannotResume.Store(event.ID == "")
+	}
 	if !r.headWritten {
 		r.headWritten = true
 		r.callbacks.WriteHeadFunc(response, -1)
@@ -130,11 +142,14 @@
 
 // ReadEvents returns an iterator over the server-sent events of a body. It calls
 // handle with each complete event and stops at the first error of the body or
-// of handle. A body that ends inside an event ends with io.ErrUnexpectedEOF.
-func ReadEvents(body io.Reader) func(handle func(Event) error) error {
+// of handle. A body that ends inside an event ends with io.ErrUnexpectedEOF. Text
+// that is no event, such as a second answer in a stream, ends it with an error of kind
+// KindInvalidAnswer. ExtraFields are the fields that events may have besides those of
+// the format.
+func ReadEvents(body io.Reader, extraFields ...string) func(handle func(Event) error) error {
 	return func(handle func(Event) error) error {
 		events := eventReader{source: body}
-		for {
+		for prefix := byteOrderMark; ; prefix = nil {
 			raw, err := events.next()
 			if errors.Is(err, io.EOF) {
 				return nil
@@ -142,13 +157,20 @@
 			if err != nil {
 				return err
 			}
-			if err := handle(Event{ID: eventID(raw), Raw: raw}); err != nil {
+			lines := bytes.TrimPrefix(raw, prefix)
+			if err := checkFields(lines, extraFields); err != nil {
+				return err
+			}
+			if err := handle(Event{ID: eventID(lines), Raw: raw}); err != nil {
 				return err
 			}
 		}
 	}
 }
 
+// byteOrderMark may precede the first event of a stream.
+var byteOrderMark = []byte("\xEF\xBB\xBF")
+
 const eventBufferBytes = 4 << 10
 
 var errEventTooLong = errors.New("the event has no end within the limit")
@@ -197,6 +219,11 @@
 		if len(e.buffered) > maxEventBytes {
 			return nil, errEventTooLong
 		}
+		if e.endsWithBlankLines() {
+			event := e.buffered
+			e.buffered, e.lineStart = nil, 0
+			return event, nil
+		}
 		if e.readErr != nil {
 			return nil, e.finalError()
 		}
@@ -206,6 +233,11 @@
 	}
 }
 
+// endsWithBlankLines reports whether only blank lines are left of a body that has ended.
+func (e *eventReader) endsWithBlankLines() bool {
+	return errors.Is(e.readErr, io.EOF) && len(e.buffered) > 0 && len(bytes.Trim(e.buffered, "\r\n")) == 0
+}
+
 // finalError returns the error that ended the body, or io.ErrUnexpectedEOF if
 // it ended inside an event.
 func (e *eventReader) finalError() error {
@@ -215,6 +247,25 @@
 	return e.readErr
 }
 
+// checkFields returns an error of kind KindInvalidAnswer if a line of an event is
+// neither blank nor a comment nor one of the known fields.
+func checkFields(event []byte, extraFields []string) error {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "", "data", "event", "id", "retry":
+			continue
+		}
+		if !slices.Contains(extraFields, string(name)) {
+			return spokeerror.Newf("read events", KindInvalidAnswer, "%.*q is no field of an event", maxExcerpt, name)
+		}
+	}
+	return nil
+}
+
+// maxExcerpt bounds in characters what an error quotes of a stream.
+const maxExcerpt = 64
+
 // eventID returns the ID of an event, or "" if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strconv"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
@@ -195,7 +196,7 @@
 // Event is one complete event of an answer.
 type Event struct {
 	// ID is the ID after which the stream can be resumed. It is empty if the
-	// event has none.
+	// event has none, so that the stream can't be resumed until the next one has.
 	ID string
 	// Raw is the text of the event as it is forwarded.
 	Raw []byte
@@ -204,6 +205,9 @@
 // isComment reports whether the event has only comment lines, which must not make
 // a stalled stream look alive.
 func (e Event) isComment() bool {
+	if e.ID != "" {
+		return false
+	}
 	for line := range bytes.Lines(e.Raw) {
 		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
 			return false
@@ -212,6 +216,20 @@
 	return true
 }
 
+// follows reports whether the event may come after the one with the given ID in a
+// stream, whose IDs increase. IDs that are no whole numbers can't be ordered.
+func (e Event) follows(lastID string) bool {
+	if e.ID == "" || lastID == "" {
+		return true
+	}
+	id, err := strconv.ParseUint(e.ID, 10, 64)
+	last, lastErr := strconv.ParseUint(lastID, 10, 64)
+	if err != nil || lastErr != nil {
+		return e.ID != lastID
+	}
+	return id > last
+}
+
 // Callbacks connect the core to the front for one request. They are called from
 // one goroutine.
 type Callbacks struct {
