core: a long answer isn't begun once its attempt is cancelled

What callers saw: a long answer (over 256 KB) that broke off behind its first part, although another server could still have answered.

Cause: an attempt that is cancelled to be moved, while the part that is read ahead arrives, forwarded that part and only then noticed.

Change: the attempt is kept at its server before the head is written, and is not begun if it was cancelled by then; the next server answers.

Test: TestServe, 'a long answer that arrives after its attempt was cancelled is not begun': one attempt instead of two before.

Conclusion: what is forwarded and what may be moved is decided in one place.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -24,7 +24,7 @@
 )
 
 // forwardAnswer forwards an answer that is not an event stream.
-func (r *requestRun) forwardAnswer(response *Response, attempt *spokebackend.Attempt) error {
+func (r *requestRun) forwardAnswer(ctx context.Context, response *Response, attempt *spokebackend.Attempt, w *watchdog) error {
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
 	if err != nil {
 		return spokeerror.New("read answer", KindNoAnswer, err)
@@ -43,8 +43,10 @@
 	if length > maxBufferedAnswer {
 		length = -1
 	}
+	if length < 0 && !r.stayAtServer(ctx, w) {
+		return spokeerror.New("read answer", KindNoAnswer, context.Cause(ctx))
+	}
 	r.headWritten = true
-	r.cannotResume.Store(true)
 	r.callbacks.WriteHeadFunc(response, length)
 	if err := r.callbacks.WriteBodyFunc(buffered); err != nil {
 		return spokeerror.New("write answer to caller", KindCallerGone, err)
@@ -55,6 +57,19 @@
 	return r.forwardRemainder(response)
 }
 
+// stayAtServer keeps the attempt from being cancelled to move it, as no other server can
+// go on with an answer that is no stream. It reports whether the attempt was not cancelled
+// before.
+func (r *requestRun) stayAtServer(ctx context.Context, w *watchdog) bool {
+	w.stop()
+	r.cannotResume.Store(true)
+	if ctx.Err() == nil {
+		return true
+	}
+	r.cannotResume.Store(false)
+	return false
+}
+
 // forwardRemainder forwards what follows the buffered part of a long answer.
 func (r *requestRun) forwardRemainder(response *Response) error {
 	chunk := make([]byte, maxBufferedAnswer)
--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -75,7 +75,7 @@
 	if response.Replayed {
 		r.executions.Add(-1)
 		attempt.Abandon()
-		return r.forwardAnswer(response, attempt)
+		return r.forwardAnswer(ctx, response, attempt, w)
 	}
 	if response.Load != nil {
 		r.core.Registry.RecordLoad(attempt.Instance().Name, *response.Load)
@@ -84,7 +84,7 @@
 		return r.forwardEvents(response, attempt, w, cancel)
 	}
 	r.recordExecutionStart()
-	return r.forwardAnswer(response, attempt)
+	return r.forwardAnswer(ctx, response, attempt, w)
 }
 
 // isResentTo reports whether the present attempt is not the first one at a server.
--- a/spokecore/core_test.go
+++ b/spokecore/core_test.go
@@ -37,6 +37,9 @@
 	// between the two.
 	Padding int               `yaml:"padding"`
 	Stall   spokeclock.Millis `yaml:"stall_millis"`
+	// Delay is the time before the answer, which comes although the attempt is cancelled
+	// meanwhile.
+	Delay spokeclock.Millis `yaml:"delay_millis"`
 	// Recorded means that the front replays a recorded answer.
 	Recorded bool `yaml:"recorded"`
 	// From is the ID of the event after which the attempt must resume.
@@ -136,6 +139,7 @@
 	if b.Error != "" {
 		return nil, spokeerror.New("send", b.Error, nil)
 	}
+	time.Sleep(b.Delay.Duration())
 	body := io.Reader(strings.NewReader(b.Body))
 	if b.Padding > 0 {
 		body = io.MultiReader(strings.NewReader(strings.Repeat("x", b.Padding)), stallingReader{ctx: ctx, stall: b.Stall}, body)
