--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -57,10 +57,11 @@
 	// An attempt in flight counts as executed until the server is known not to
 	// have run it.
 	r.executions.Add(1)
+	r.triedAddresses = append(r.triedAddresses, attempt.Instance().Address)
 	r.answerStartedAt, r.isDelimited = 0, false
 	response, err := r.callbacks.SendAttemptFunc(ctx, Attempt{
 		Server: attempt.Instance(), MovedFrom: movedFrom, TimeLeft: r.timeLeft(), Urgency: r.request.urgency(), LastEventID: r.lastEventID,
-		IsResent: r.isResentTo(attempt.Instance().Name), RunsOnce: !r.request.isRepeatable(),
+		IsResent: slices.Contains(r.triedAddresses[:len(r.triedAddresses)-1], attempt.Instance().Address),
 	})
 	if err != nil {
 		if kind := spokeerror.KindOf[Kind](err); kind != KindNoAnswer && kind != KindInvalidAnswer {
@@ -87,11 +88,6 @@
 	return r.forwardAnswer(ctx, response, attempt, w)
 }
 
-// isResentTo reports whether the present attempt is not the first one at a server.
-func (r *requestRun) isResentTo(server string) bool {
-	return slices.Contains(r.triedServers[:len(r.triedServers)-1], server)
-}
-
 // recordOutcome ends the attempt in the registry, as a success or a failure of
 // the server or as neither.
 func (r *requestRun) recordOutcome(ctx context.Context, attempt *spokebackend.Attempt, err error) {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -163,10 +163,9 @@
 	// LastEventID is the ID of the event after which to resume a stream, or
 	// empty.
 	LastEventID string
-	// IsResent is true if the server got an earlier attempt of the same request.
+	// IsResent is true if an earlier attempt of the request was sent to the server's
+	// address.
 	IsResent bool
-	// RunsOnce is true if the request may run only once.
-	RunsOnce bool
 }
 
 // Response is the head of a backend server's answer, with access to its body.
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -43,6 +43,9 @@
 	crashCheck <-chan struct{}
 
 	triedServers []string
+	// triedAddresses are those to which attempts were sent. Several servers may be listed
+	// under one address.
+	triedAddresses []string
 	// executions is the number of attempts that ran or may have run.
 	executions       atomic.Int64
 	executionStarted bool
