quarantine: a failing test of a second bar that isn't reported

What operators see: no 'Request is barred' line for the bar of five minutes that follows the trial of a short one.

Cause: isReported is set with the first bar and only reset by an answer, not when the bar ends by its time.

Change: none of the product; the lead decides.

--- a/spokequarantine/quarantine_test.go
+++ b/spokequarantine/quarantine_test.go
@@ -209,3 +209,30 @@
 		}
 	}
 }
+
+// TestReportedBars guards against a bar that operators aren't told of, as an earlier bar of
+// the same subject has ended by its time without a report.
+func TestReportedBars(t *testing.T) {
+	now := spokeclock.Second
+	var reports []bool
+	q := &spokequarantine.Quarantine{
+		Clock:          &spokeclock.Clock{NowFunc: func() spokeclock.Millis { return now }},
+		BarChangedFunc: func(_ spokequarantine.Subject, isBarred bool, _ int) { reports = append(reports, isBarred) },
+	}
+	subjects := []spokequarantine.Subject{spokequarantine.Content("r")}
+	for i := range 3 {
+		if bar := q.Find(subjects); bar.Subject != "" {
+			now += bar.Remaining
+		}
+		q.RecordCrash(spokequarantine.Crash{Server: fmt.Sprintf("s%d", i), Request: "r", Subjects: subjects})
+		now += 100
+	}
+	require.NotEmpty(t, q.Find(subjects).Subject)
+	bars := 0
+	for _, isBarred := range reports {
+		if isBarred {
+			bars++
+		}
+	}
+	require.Equal(t, 2, bars, "bars reported")
+}
