quarantine: each bar is reported

What operators saw: no line for the second bar of a subject, as the end of the first one by its time isn't reported.

Cause: a report was made only when a subject changed between barred and free at a report.

Change: a bar that begins after another one has ended is reported again.

--- a/spokequarantine/news.go
+++ b/spokequarantine/news.go
@@ -112,6 +112,7 @@
 	}
 	until := now + min(n.BarredFor, barDuration)
 	if n.BarredFor > 0 && (!s.isBarredAt(now) || until-s.barredUntil > spokeclock.Second) {
+		s.isReported = s.isReported && s.isBarredAt(now)
 		s.barUntil(until)
 		isNews = true
 	}
--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -95,7 +95,7 @@
 	releaseDelay spokeclock.Millis
 	// triedUntil is when the result of the last trial, here or at a peer, is known.
 	triedUntil spokeclock.Millis
-	// isReported is whether BarChangedFunc was last called for a bar.
+	// isReported is whether BarChangedFunc was called for the present bar.
 	isReported bool
 	// isTold is whether peers were told of an answer, and toldAt when they last were.
 	isTold bool
@@ -403,6 +403,9 @@
 		needed = s.rule.minCrashesAnswered
 	}
 	crashes, last := s.independentCrashes(), s.lastCrashAt()
+	if s.isBarred && last >= s.barredUntil {
+		s.isReported = false
+	}
 	switch {
 	case s.isBarred && last >= s.barredUntil && last < s.barredUntil+releaseSpread+probation:
 		// A trial has crashed its server. The crashes before the bar may be too old to
