plain, serve: a seal response names its attempt

Callers saw: "not run" for a booking that had run, and the booking ran a second time under the same key.

Cause: the request that seals an attempt went over a client that keeps connections, and its response carried nothing that tied it to the attempt. A late copy of an earlier response {"ran":false} on a kept connection was believed for the attempt that was asked about: its claim was released or replaced. So was any response without content, such as {} or an empty body, since the absence of "ran" reads as "not run".

Change: the report carries the attempt ("attempt"), and one that doesn't name the attempt that was asked about is KindWrongAttempt, so that the outcome stays unknown. A server that reports outcomes and doesn't name the attempt yet is treated as one that can't be asked. Seals go over connections of their own, as the attempts do, so that a copy costs no attempt its outcome.

--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -68,6 +68,8 @@
 
 // AttemptReport is the outcome of an attempt.
 type AttemptReport struct {
+	// AttemptID identifies the attempt.
+	AttemptID string `json:"attempt"`
 	// Started is true if the attempt has started.
 	Started bool `json:"ran"`
 	// Finished is true if the attempt has ended.
@@ -81,9 +83,10 @@
 type Client struct {
 	// URL is the base URL of the server.
 	URL string
-	// HTTPClient sends the requests. For requests that are not idempotent it must
-	// not reuse connections, because net/http may send a request again when a
-	// reused connection turns out to be closed.
+	// HTTPClient sends the requests. For requests that are not idempotent, and to
+	// seal attempts, it must not reuse connections: net/http may send a request again
+	// when a reused connection turns out to be closed, and a reused connection may
+	// hold a late copy of an earlier response.
 	HTTPClient *http.Client
 }
 
@@ -137,11 +140,14 @@
 
 // SealAttempt asks for the outcome of an attempt. If the server reports that the
 // attempt has not started, it will never run it. It returns an error of kind
-// KindOutcomeUnknown.
+// KindOutcomeUnknown or, if the report does not name the attempt, KindWrongAttempt.
 func (c *Client) SealAttempt(ctx context.Context, attemptID string) (AttemptReport, error) {
 	report, err := spokehttp.PostJSON[AttemptReport](ctx, c.HTTPClient, c.URL+"/v1/attempts/seal", SealRequest{AttemptID: attemptID})
 	if err != nil {
 		return AttemptReport{}, spokeerror.New("seal attempt", KindOutcomeUnknown, err)
 	}
+	if report.AttemptID != attemptID {
+		return AttemptReport{}, spokeerror.Newf("seal attempt", KindWrongAttempt, "the report is of attempt %q", report.AttemptID)
+	}
 	return report, nil
 }
--- /dev/null
+++ b/spokeplain/plain_test.go
@@ -0,0 +1,119 @@
+package spokeplain_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokecase"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokeplain"
+)
+
+const (
+	firstAttempt  = "first"
+	secondAttempt = "second"
+	idleDelay     = 50 * time.Millisecond
+)
+
+// responseCase is what a server writes to a client that calls it for two attempts in
+// turn. The texts between the two responses are written on the first connection.
+type responseCase struct {
+	Name string `yaml:"name"`
+	Call string `yaml:"call"`
+	// First and Second respond to the requests.
+	First  string `yaml:"first"`
+	Second string `yaml:"second"`
+	// Before is written while the connection is idle, During after the first byte of
+	// the second request, After once the whole request has been read.
+	Before string `yaml:"before"`
+	During string `yaml:"during"`
+	After  string `yaml:"after"`
+	// Kind is the kind of the second call's error, and Started the second report.
+	Kind    spokeplain.Kind `yaml:"kind"`
+	Started bool            `yaml:"started"`
+}
+
+// TestResponsesOfOtherAttempts calls a server that repeats the response to an earlier
+// attempt on a kept connection, or whose response names no attempt. None of these may
+// decide that an attempt has not run.
+func TestResponsesOfOtherAttempts(t *testing.T) {
+	for _, c := range spokecase.Read[[]responseCase](t, "testdata/responses.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			client := &spokeplain.Client{URL: "http://" + c.serve(t), HTTPClient: spokehttp.NewClient()}
+			_, err := c.call(client, firstAttempt)
+			require.NotEqual(t, spokeplain.KindOutcomeUnknown, spokeerror.KindOf[spokeplain.Kind](err))
+			time.Sleep(2 * idleDelay)
+			started, err := c.call(client, secondAttempt)
+			require.Equal(t, c.Kind, spokeerror.KindOf[spokeplain.Kind](err), "%v", err)
+			require.Equal(t, c.Started, started)
+		})
+	}
+}
+
+func (c responseCase) call(client *spokeplain.Client, attemptID string) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if c.Call == "seal" {
+		report, err := client.SealAttempt(ctx, attemptID)
+		return report.Started, err
+	}
+	_, err := client.Send(ctx, spokeplain.Request{Method: http.MethodPost, Path: "/", Body: []byte("body"), AttemptID: attemptID})
+	return err == nil, err
+}
+
+// serve serves the case and returns the address.
+func (c responseCase) serve(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for first := true; ; first = false {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go c.serveConn(conn, first)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (c responseCase) serveConn(conn net.Conn, first bool) {
+	reader := bufio.NewReader(conn)
+	if first {
+		readRequest(reader)
+		writeResponse(conn, c.First)
+		time.Sleep(idleDelay)
+		writeResponse(conn, c.Before)
+		if _, err := reader.Peek(1); err != nil {
+			return
+		}
+		writeResponse(conn, c.During)
+	}
+	readRequest(reader)
+	if first {
+		writeResponse(conn, c.After)
+	}
+	writeResponse(conn, c.Second)
+}
+
+func readRequest(reader *bufio.Reader) {
+	if request, err := http.ReadRequest(reader); err == nil {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+func writeResponse(conn net.Conn, text string) {
+	_, _ = conn.Write([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+}
--- a/spokeserve/once.go
+++ b/spokeserve/once.go
@@ -172,10 +172,13 @@
 	if !c.access.service.ReportsOutcomes || !found {
 		return spokeplain.AttemptReport{}, false
 	}
-	server := spokeplain.Client{URL: "http://" + instance.Address, HTTPClient: c.server.Client}
+	server := spokeplain.Client{URL: "http://" + instance.Address, HTTPClient: c.server.NoKeepAliveClient}
 	giveUpAt := c.server.Clock.Now() + sealWaitTimeout
 	for {
 		report, err := trySeal(ctx, server, attemptID)
+		if spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindWrongAttempt {
+			c.server.Counters.foreignEvents.Inc()
+		}
 		decided := err == nil && (!report.Started || report.Finished)
 		if decided || c.server.Clock.Now() > giveUpAt || spokeclock.Sleep(ctx, sealInterval) != nil {
 			return report, err == nil
--- a/spokeserve/server.go
+++ b/spokeserve/server.go
@@ -43,9 +43,9 @@
 	ConfigUpToDateFunc func() bool
 	// Client sends requests to backend servers.
 	Client *http.Client
-	// NoKeepAliveClient sends requests that are not idempotent to backend servers.
-	// It must not reuse connections, because net/http may send a request twice on a
-	// reused connection.
+	// NoKeepAliveClient sends requests that are not idempotent to backend servers, and
+	// asks for the outcomes of their attempts. It must not reuse connections, because
+	// net/http may send a request twice on a reused connection.
 	NoKeepAliveClient *http.Client
 	// Clock is the source of time. Nil means the real clock.
 	Clock *spokeclock.Clock
--- a/spokestandin/plain.go
+++ b/spokestandin/plain.go
@@ -141,7 +141,9 @@
 		report = &spokeplain.AttemptReport{}
 		p.attempts[request.AttemptID] = report
 	}
-	return *report, nil
+	answer := *report
+	answer.AttemptID = request.AttemptID
+	return answer, nil
 }
 
 func (p *PlainServer) getRuns(context.Context, struct{}) (RunCounts, error) {
--- a/spokestandin/proxy.go
+++ b/spokestandin/proxy.go
@@ -36,6 +36,12 @@
 	// SwapResponses is the number of pairs of chunks from the target to exchange
 	// between connections.
 	SwapResponses int `json:"swap_answers,omitempty"`
+	// LateCopies is the number of responses that are sent once more, on their own
+	// connection, in front of the response to the next request.
+	LateCopies int `json:"late_copies,omitempty"`
+	// CopyContaining limits the late copies to responses of requests that contain
+	// this text and are followed by another one that contains it.
+	CopyContaining string `json:"copy_containing,omitempty"`
 }
 
 // Proxy forwards TCP connections to a target and injects faults. Set its fields
@@ -110,8 +116,9 @@
 	p.track(client, target)
 	defer p.untrack(client, target)
 	done := make(chan struct{}, 2)
-	go func() { p.copyChunks(client, target, p.filterRequestChunk); done <- struct{}{} }()
-	go func() { p.copyChunks(target, client, p.newResponseFilter()); done <- struct{}{} }()
+	copier := &responseCopier{proxy: p, client: client}
+	go func() { p.copyChunks(client, target, copier.filterRequestChunk); done <- struct{}{} }()
+	go func() { p.copyChunks(target, client, p.newResponseFilter(copier)); done <- struct{}{} }()
 	<-done
 }
 
@@ -168,7 +175,7 @@
 
 // newResponseFilter returns the filter of the chunks from the target to the
 // client of one connection.
-func (p *Proxy) newResponseFilter() func([]byte) ([]byte, bool) {
+func (p *Proxy) newResponseFilter(copier *responseCopier) func([]byte) ([]byte, bool) {
 	forwarded := 0
 	return func(chunk []byte) ([]byte, bool) {
 		p.delayChunk(len(chunk))
@@ -183,6 +190,7 @@
 		if limit > 0 && forwarded > limit {
 			return nil, false
 		}
+		copier.record(chunk)
 		return p.swapChunk(chunk), !p.currentFaults().Disconnected
 	}
 }
