table: calls are answered by their own response

Callers saw: with a copy of an earlier response on a connection between an instance and the table service, a booking ran twice under one key.

Cause: all calls of the table shared kept connections, and the response to a transaction names neither the transaction nor its rows. A late copy of an earlier "committed" was believed for a claim that another attempt held; a copy of a refusal said "nothing was committed" of a transaction that was; a copy of a conflict, of a read of another row or of an empty scan was believed as well. A lease or a configuration rests on the same calls.

Change: transactions and scans go over connections of their own, and the rows of a read must be those that were asked for. Reads keep their connections; an older copy of the same row is caught by the condition of the write that follows.

--- a/spokeclaim/claims_test.go
+++ b/spokeclaim/claims_test.go
@@ -21,7 +21,7 @@
 func TestReassignWithLostResponse(t *testing.T) {
 	server := httptest.NewServer((&spokestandin.TableService{}).Handler())
 	defer server.Close()
-	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient()}
+	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	claims := &spokeclaim.Claims{Table: table, Owner: "a", Log: zerolog.Nop()}
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -165,8 +165,8 @@
 func (e *Entry) buildComponents(peers net.Listener) {
 	e.log = e.Logs.Component("entry")
 	e.metrics = metrics.NewSet()
-	client := spokehttp.NewClient()
-	table := &spoketable.Table{URL: e.Settings.TableURL, Client: client}
+	client, noKeepAliveClient := spokehttp.NewClient(), spokehttp.NewNoKeepAliveClient()
+	table := &spoketable.Table{URL: e.Settings.TableURL, Client: client, NoKeepAliveClient: noKeepAliveClient}
 	objects := &spokeobject.Store{URL: e.Settings.ObjectURL, Client: client}
 	e.store = &spokeconfig.Store{}
 	e.repository = &spokeconfig.Repository{Table: table, Store: e.store}
@@ -191,7 +191,7 @@
 		Lease: e.newLease(table, "fleet", maxOrderDelay),
 		Cloud: e.poller.Cloud, Registry: e.registry, Store: e.store, Client: client, DrainStartedFunc: e.peerNode.TriggerHeartbeats, Log: e.Logs.Component("fleet"),
 	}
-	e.buildServers(client)
+	e.buildServers(client, noKeepAliveClient)
 	e.addSeedPeers()
 	e.registerGauges()
 }
@@ -206,12 +206,12 @@
 	}
 }
 
-func (e *Entry) buildServers(client *http.Client) {
+func (e *Entry) buildServers(client, noKeepAliveClient *http.Client) {
 	e.core = e.newCore()
 	e.server = &spokeserve.Server{
 		Core: e.core, Store: e.store, Claims: e.claims,
 		AttemptStateFunc: e.peerNode.AttemptState, ConfigUpToDateFunc: e.peerNode.ConfigCheckDone,
-		Client: client, NoKeepAliveClient: spokehttp.NewNoKeepAliveClient(),
+		Client: client, NoKeepAliveClient: noKeepAliveClient,
 		MaxBodyBytes: e.Settings.MaxBodyBytes, Counters: spokeserve.NewCounters(e.metrics),
 		Log: e.Logs.Component("serve"), Switches: e.switches(),
 	}
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -62,7 +62,7 @@
 	defer server.Close()
 	clock := &spokeclock.Manual{}
 	clock.Advance(1)
-	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient()}
+	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
 	leases := make(map[string]*spokelease.Lease)
 	start := func(name string) {
 		leases[name] = &spokelease.Lease{
--- a/spokemeasure/claim.go
+++ b/spokemeasure/claim.go
@@ -85,7 +85,9 @@
 	server := &http.Server{Handler: standin.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	return &spoketable.Table{URL: "http://" + listener.Addr().String(), Client: spokehttp.NewClient()}, nil
+	return &spoketable.Table{
+		URL: "http://" + listener.Addr().String(), Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient(),
+	}, nil
 }
 
 // runClaims starts claims at a constant rate, waits for all and returns how many
--- a/spoketable/table.go
+++ b/spoketable/table.go
@@ -34,8 +34,12 @@
 type Table struct {
 	// URL is the base URL of the service, such as "http://127.0.0.1:9000".
 	URL string
-	// Client sends the requests. It is required: with nil the first call panics.
+	// Client sends reads, whose responses name their rows. It is required.
 	Client *http.Client
+	// NoKeepAliveClient sends transactions and scans. It must not reuse connections,
+	// on which a late copy of an earlier response could pass for theirs. It is
+	// required.
+	NoKeepAliveClient *http.Client
 	// Timeout bounds each call. Zero means one second.
 	Timeout spokeclock.Millis
 
@@ -44,16 +48,19 @@
 
 // Read returns the rows of the keys, in the order of the keys. It returns an
 // error of kind KindUnavailable if the call fails or times out, or of kind
-// KindMalformed if the response has the wrong number of rows.
+// KindMalformed if the response has other rows.
 func (t *Table) Read(ctx context.Context, keys ...string) ([]Row, error) {
-	rows, err := call[Rows](ctx, t, "/v1/read", ReadRequest{Keys: keys})
+	rows, err := call[Rows](ctx, t, t.Client, "/v1/read", ReadRequest{Keys: keys})
 	if err != nil {
 		return nil, spokeerror.New("read table", KindUnavailable, err)
 	}
 	if len(rows.Rows) != len(keys) {
 		return nil, spokeerror.Newf("read table", KindMalformed, "response has %d rows for %d keys", len(rows.Rows), len(keys))
 	}
-	for _, row := range rows.Rows {
+	for i, row := range rows.Rows {
+		if row.Key != keys[i] {
+			return nil, spokeerror.Newf("read table", KindMalformed, "response has row %q in place of %q", row.Key, keys[i])
+		}
 		if !t.eras.Observe(row.Era) {
 			return nil, spokeerror.Newf("read table", KindUnavailable, "the response is of era %d, before a restore of the table", row.Era)
 		}
@@ -65,7 +72,7 @@
 // than after. It returns an error of kind KindUnavailable if the call fails or
 // times out.
 func (t *Table) Scan(ctx context.Context, prefix, after string) (Rows, error) {
-	rows, err := call[Rows](ctx, t, "/v1/scan", ScanRequest{Prefix: prefix, After: after, Limit: scanPageRows})
+	rows, err := call[Rows](ctx, t, t.NoKeepAliveClient, "/v1/scan", ScanRequest{Prefix: prefix, After: after, Limit: scanPageRows})
 	if err != nil {
 		return Rows{}, spokeerror.New("scan table", KindUnavailable, err)
 	}
@@ -94,7 +101,7 @@
 // It returns an error of kind KindUnavailable if nothing was committed, or of
 // kind KindOutcomeUnknown if the transaction may have been committed.
 func (t *Table) Transact(ctx context.Context, transaction Transaction) (Outcome, error) {
-	outcome, err := call[Outcome](ctx, t, "/v1/transact", transaction)
+	outcome, err := call[Outcome](ctx, t, t.NoKeepAliveClient, "/v1/transact", transaction)
 	if err == nil && !t.eras.Observe(outcome.Era) {
 		return Outcome{}, spokeerror.Newf("write table", KindOutcomeUnknown, "the response is of era %d, before a restore of the table", outcome.Era)
 	}
@@ -113,7 +120,7 @@
 	}
 }
 
-func call[Response any](ctx context.Context, t *Table, path string, request any) (Response, error) {
+func call[Response any](ctx context.Context, t *Table, client *http.Client, path string, request any) (Response, error) {
 	timeout := t.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -121,7 +128,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	ctx, span := spoketrace.StartSpan(ctx, "platform table"+path)
-	response, err := spokehttp.PostJSON[Response](ctx, t.Client, t.URL+path, request)
+	response, err := spokehttp.PostJSON[Response](ctx, client, t.URL+path, request)
 	span.End(err)
 	return response, err
 }
--- a/spokeusage/reporter_test.go
+++ b/spokeusage/reporter_test.go
@@ -80,7 +80,7 @@
 func newReportSimulation(t *testing.T) *reportSimulation {
 	server := httptest.NewServer((&spokestandin.TableService{}).Handler())
 	t.Cleanup(server.Close)
-	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient()}
+	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
 	s := &reportSimulation{
 		T: t, ledgers: map[string]*spokeusage.Ledger{}, leases: map[string]*spokelease.Lease{},
 		reporters: map[string]*spokeusage.Reporter{}, counts: map[int64]map[string]int64{},
