plain: a request that was resent counts as sent

Callers saw: "not_run" for an idempotent GET that a backend server had read.

Cause: net/http sends a GET again when a kept connection breaks under it. If it then can't connect, its error is that of the second connection, which was read as "nothing was sent": the attempt didn't count as run, and its allotment was refunded.

Evidence: TestResentRequest on the code before, 3 runs of 3: expected "unknown", actual "not_sent" ("connection not established: dial tcp 127.0.0.1:33451: connect: connection refused"), with the server having read the request. Requests of routes that aren't idempotent weren't affected: their connections aren't reused. Nor are the POST calls of the table, which net/http resends only if nothing was written.

Change: a request that was ever given a connection isn't known to be unsent.

After: TestResentRequest passes, 3 runs.

--- a/spokehttp/client.go
+++ b/spokehttp/client.go
@@ -55,7 +55,8 @@
 }
 
 // KindOfFailure returns KindNotSent if a failed round trip is certain to have
-// sent nothing, and KindNoAnswer if the request may have taken effect.
+// sent nothing, and KindNoAnswer if the request may have taken effect. It must not be
+// used for a request that net/http sends again, such as a GET on a reused connection.
 func KindOfFailure(err error) Kind {
 	if errors.Is(err, errNotConnected) {
 		return KindNotSent
--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
@@ -93,6 +95,8 @@
 // Send sends a request once. It returns an error of kind KindNotSent,
 // KindOutcomeUnknown, KindWrongAttempt or KindSealed.
 func (c *Client) Send(ctx context.Context, request Request) (Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, c.URL+request.Path, bytes.NewReader(request.Body))
 	if err != nil {
 		return Response{}, spokeerror.New("send", KindNotSent, err)
@@ -104,7 +108,7 @@
 	spoketrace.Inject(ctx, outgoing.Header)
 	response, err := c.HTTPClient.Do(outgoing)
 	if err != nil {
-		return Response{}, spokeerror.New("send", failureKind(err), err)
+		return Response{}, spokeerror.New("send", failureKind(err, connected.Load()), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
@@ -131,8 +135,11 @@
 	return checked, nil
 }
 
-func failureKind(err error) Kind {
-	if spokehttp.KindOfFailure(err) == spokehttp.KindNotSent {
+// failureKind returns the kind of a failed round trip. After a failure on a reused
+// connection, net/http may fail to connect again, so that a request that was ever given
+// a connection may have been sent.
+func failureKind(err error, connected bool) Kind {
+	if !connected && spokehttp.KindOfFailure(err) == spokehttp.KindNotSent {
 		return KindNotSent
 	}
 	return KindOutcomeUnknown
--- a/spokeplain/plain_test.go
+++ b/spokeplain/plain_test.go
@@ -117,3 +117,32 @@
 func writeResponse(conn net.Conn, text string) {
 	_, _ = conn.Write([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
 }
+
+// TestResentRequest closes a kept connection, and the server, after a request on it has
+// been read. The HTTP library then sends the request again and fails to connect, which
+// must not count as not sent.
+func TestResentRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		readRequest(reader)
+		writeResponse(conn, "HTTP/1.1 200 OK\nSpoke-Attempt: first\nContent-Length: 0\n\n")
+		readRequest(reader)
+		_ = listener.Close()
+		_ = conn.Close()
+	}()
+	client := &spokeplain.Client{URL: "http://" + listener.Addr().String(), HTTPClient: spokehttp.NewClient()}
+	request := spokeplain.Request{Method: http.MethodGet, Path: "/", AttemptID: firstAttempt}
+	_, err = client.Send(t.Context(), request)
+	require.NoError(t, err)
+	request.AttemptID = secondAttempt
+	_, err = client.Send(t.Context(), request)
+	require.Equal(t, spokeplain.KindOutcomeUnknown, spokeerror.KindOf[spokeplain.Kind](err), "%v", err)
+	_, err = client.Send(t.Context(), request)
+	require.Equal(t, spokeplain.KindNotSent, spokeerror.KindOf[spokeplain.Kind](err), "%v", err)
+}
