serve: a model request that an engine got isn't refused as not run

Callers saw: outcome "not_run", which promises that the request did not run and will not, for a chat request whose engine had generated the whole answer.

Cause: the outcome of a model request was derived from the absence of a delivered token, and not from what became of its attempts. The core knew that an attempt may have run; the front didn't ask it.

Evidence, on the code before, with an engine whose responses are lost: TestScripts/unfinished: requests outcome_unknown is 0, want at least 1; requests refused is 1, want at most 0.

Change: such a refusal is outcome_unknown. A request that no engine was sent, or whose connection was refused, stays not_run. Callers may repeat either: the kind, the status and Retry-After are as before.

After: the script passes, 3 runs of 3; cut_off, whole_path, whole_answers, death, reclaim and leaving, whose loads bound these outcomes, pass, one run each, at a load average of 36.

--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -175,18 +175,21 @@
 }
 
 // refusalFor returns the refusal of a request that the core could not complete.
-// The only effect of a model request is its tokens. If none was delivered, the
-// request counts as not run.
 func (g *generation) refusalFor(err error) *types.Refusal {
 	var refusal *spokecore.Refusal
 	if !errors.As(err, &refusal) {
 		return nil
 	}
 	kind, message := g.describe(refusal)
-	if len(g.delivered) > 0 {
+	retryAfter := max(shortRetryAfter, refusal.RetryAfter())
+	switch {
+	case len(g.delivered) > 0:
 		return refuseIncomplete(kind, message)
+	case !refusal.NotRun():
+		return refuseOutcomeUnknown(kind, retryAfter, message)
+	default:
+		return refuse(kind, retryAfter, message)
 	}
-	return refuse(kind, max(shortRetryAfter, refusal.RetryAfter()), message)
 }
 
 // describe returns the refusal kind and the message for callers.
