table: a gateway's status doesn't say that nothing was committed

Callers saw, in the worst case: a key whose attempt was never sent stays in use (outcome_unknown for ever, for a service that doesn't report outcomes), and an operator is told that a configuration was not accepted though it is in force.

Cause: every error status of the table service counted as "nothing was committed", also 500, 502 and 504, which come from a failure during the transaction or from a gateway that lost its response. A claim that fails with an unknown outcome is read back and released, a configuration is read back; after "nothing was committed" neither is.

Evidence: TestStatusesOfTransactions on the code before: 500, 502 and 504, expected "unknown", actual "unavailable". The worst case above is derived from the code; it was not played.

Change: only 503 and the statuses below 500 are refusals.

After: the test passes; so do the tests of spokeclaim, spokelease, spokeconfig and spokeusage.

--- a/spoketable/table.go
+++ b/spoketable/table.go
@@ -111,13 +111,15 @@
 	return Outcome{}, spokeerror.New("write table", transactErrorKind(err), err)
 }
 
+// transactErrorKind returns KindOutcomeUnknown for the statuses of a failure during the
+// transaction or of a gateway that got no response to it.
 func transactErrorKind(err error) Kind {
-	switch spokeerror.KindOf[spokehttp.Kind](err) {
-	case spokehttp.KindNotSent, spokehttp.KindRefused:
+	status := spokehttp.StatusOf(err)
+	isRefusal := status > 0 && (status < http.StatusInternalServerError || status == http.StatusServiceUnavailable)
+	if isRefusal || spokeerror.KindOf[spokehttp.Kind](err) == spokehttp.KindNotSent {
 		return KindUnavailable
-	default:
-		return KindOutcomeUnknown
 	}
+	return KindOutcomeUnknown
 }
 
 func call[Response any](ctx context.Context, t *Table, client *http.Client, path string, request any) (Response, error) {
--- a/spoketable/table_test.go
+++ b/spoketable/table_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"mulberryspoke.example/mulberryspoke/spokecase"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
 	"mulberryspoke.example/mulberryspoke/spoketable"
@@ -100,3 +103,22 @@
 	}
 	return rows[0].Key
 }
+
+type statusCase struct {
+	Status int             `yaml:"status"`
+	Kind   spoketable.Kind `yaml:"kind"`
+}
+
+// TestStatusesOfTransactions answers a transaction with error statuses. Those of a
+// gateway or of a failure on the way must not count as a transaction without effect.
+func TestStatusesOfTransactions(t *testing.T) {
+	for _, c := range spokecase.Read[[]statusCase](t, "testdata/statuses.yaml") {
+		t.Run(strconv.Itoa(c.Status), func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(c.Status) }))
+			defer server.Close()
+			table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
+			_, err := table.Transact(t.Context(), spoketable.Transaction{})
+			require.Equal(t, c.Kind, spokeerror.KindOf[spoketable.Kind](err), "%v", err)
+		})
+	}
+}
