object: an object is read by its own response

Callers saw, in the worst case: the recorded response of another booking (one over 16 KiB, whose body is an object), or "its recorded answer cannot be read" for ever, if a copy of an earlier response was taken for the confirmation of a write.

Cause: calls of the object store shared kept connections, and its responses name no object.

Evidence: TestLateCopyOfObject on the code before, with a copy of the response to the read before: expected "content of b", actual "content of a". The worst case was not played at the product's interface.

Change: these calls go over connections of their own. They are made for bodies over 16 KiB only.

After: the test passes, 3 runs.

--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -167,7 +167,7 @@
 	e.metrics = metrics.NewSet()
 	client, noKeepAliveClient := spokehttp.NewClient(), spokehttp.NewNoKeepAliveClient()
 	table := &spoketable.Table{URL: e.Settings.TableURL, Client: client, NoKeepAliveClient: noKeepAliveClient}
-	objects := &spokeobject.Store{URL: e.Settings.ObjectURL, Client: client}
+	objects := &spokeobject.Store{URL: e.Settings.ObjectURL, NoKeepAliveClient: noKeepAliveClient}
 	e.store = &spokeconfig.Store{}
 	e.repository = &spokeconfig.Repository{Table: table, Store: e.store}
 	e.view = &spokemember.View{Self: e.identity()}
--- a/spokeobject/store.go
+++ b/spokeobject/store.go
@@ -32,8 +32,9 @@
 type Store struct {
 	// URL is the base URL of the service.
 	URL string
-	// Client sends the requests.
-	Client *http.Client
+	// NoKeepAliveClient sends the requests. It must not reuse connections, on which a
+	// late copy of an earlier response could pass for another object.
+	NoKeepAliveClient *http.Client
 	// Timeout bounds each call. Zero means two seconds.
 	Timeout spokeclock.Millis
 }
@@ -77,7 +78,7 @@
 		return nil, spokeerror.New(operation, KindUnavailable, err)
 	}
 	spoketrace.Inject(ctx, request.Header)
-	response, err := s.Client.Do(request)
+	response, err := s.NoKeepAliveClient.Do(request)
 	if err != nil {
 		return nil, spokeerror.New(operation, KindUnavailable, err)
 	}
--- /dev/null
+++ b/spokeobject/store_test.go
@@ -0,0 +1,34 @@
+package spokeobject_test
+
+import (
+	"net"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokeobject"
+	"mulberryspoke.example/mulberryspoke/spokestandin"
+)
+
+// TestLateCopyOfObject repeats the response to a read on its connection when the next
+// call arrives. An object must not be read as another one.
+func TestLateCopyOfObject(t *testing.T) {
+	server := httptest.NewServer((&spokestandin.ObjectStore{}).Handler())
+	defer server.Close()
+	proxy := &spokestandin.Proxy{Target: server.Listener.Addr().String()}
+	proxy.SetFaults(spokestandin.ProxyFaults{LateCopies: 1, CopyContaining: "GET"})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go proxy.Serve(t.Context(), listener)
+	store := &spokeobject.Store{URL: "http://" + listener.Addr().String(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
+	for _, name := range []string{"a", "b"} {
+		require.NoError(t, store.Put(t.Context(), name, []byte("content of "+name)))
+	}
+	for _, name := range []string{"a", "b"} {
+		content, err := store.Get(t.Context(), name)
+		require.NoError(t, err)
+		require.Equal(t, "content of "+name, string(content))
+	}
+}
