cloud, fleet: starts, stops and orders are answered by their own response

Callers saw: nothing yet. With a copy of an earlier response, a start was confirmed with the instance of another start, or counted as refused, so that the plan counted an instance too few or too many; and an order counted as delivered that no engine had, so that a later order of an earlier holder was not yet outdated there.

Cause: these calls shared kept connections, and their responses name neither the start nor the order.

Evidence: TestLateCopyOfStart on the code before: two starts got one instance ("map[a:true]" should have 2 items, but has 1). The orders were not played: they use the same call.

Change: starts, stops and orders go over connections of their own.

After: the test passes, 3 runs.

--- a/spokecloud/cloud.go
+++ b/spokecloud/cloud.go
@@ -31,8 +31,11 @@
 	URL string
 	// ListURL is the base URL of the list of instances.
 	ListURL string
-	// Client sends the requests.
+	// Client sends reads.
 	Client *http.Client
+	// NoKeepAliveClient starts and stops instances. It must not reuse connections, on
+	// which a late copy of an earlier response could pass for theirs.
+	NoKeepAliveClient *http.Client
 
 	mutex sync.Mutex
 	etag  string
@@ -71,7 +74,7 @@
 func (c *Cloud) StartInstance(ctx context.Context, request StartRequest) (Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	instance, err := spokehttp.PostJSON[Instance](ctx, c.Client, c.URL+"/v1/start", request)
+	instance, err := spokehttp.PostJSON[Instance](ctx, c.NoKeepAliveClient, c.URL+"/v1/start", request)
 	return instance, wrapError("start instance", err)
 }
 
@@ -79,7 +82,7 @@
 func (c *Cloud) StopInstance(ctx context.Context, request StopRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	_, err := spokehttp.PostJSON[struct{}](ctx, c.Client, c.URL+"/v1/stop", request)
+	_, err := spokehttp.PostJSON[struct{}](ctx, c.NoKeepAliveClient, c.URL+"/v1/stop", request)
 	return wrapError("stop instance", err)
 }
 
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -182,14 +182,14 @@
 	}
 	e.registry.LongAnswersChangedFunc = e.peerNode.TriggerHeartbeatsIfFewLinks
 	e.poller = &spokewatch.Poller{
-		Cloud:      &spokecloud.Cloud{URL: e.Settings.CloudURL, ListURL: e.Settings.ListURL, Client: client},
+		Cloud:      &spokecloud.Cloud{URL: e.Settings.CloudURL, ListURL: e.Settings.ListURL, Client: client, NoKeepAliveClient: noKeepAliveClient},
 		Repository: e.repository, View: e.view, Registry: e.registry, Client: client,
 		ChangedFunc: e.peerNode.TriggerHeartbeats, Log: e.Logs.Component("watch"),
 	}
 	e.pruneLease = e.newLease(table, "prune", 0)
 	e.fleet = &spokefleet.Manager{
 		Lease: e.newLease(table, "fleet", maxOrderDelay),
-		Cloud: e.poller.Cloud, Registry: e.registry, Store: e.store, Client: client, DrainStartedFunc: e.peerNode.TriggerHeartbeats, Log: e.Logs.Component("fleet"),
+		Cloud: e.poller.Cloud, Registry: e.registry, Store: e.store, NoKeepAliveClient: noKeepAliveClient, DrainStartedFunc: e.peerNode.TriggerHeartbeats, Log: e.Logs.Component("fleet"),
 	}
 	e.buildServers(client, noKeepAliveClient)
 	e.addSeedPeers()
--- a/spokefleet/manager.go
+++ b/spokefleet/manager.go
@@ -40,8 +40,9 @@
 	Registry *spokebackend.Registry
 	// Store provides the configuration.
 	Store *spokeconfig.Store
-	// Client sends the orders to the engines.
-	Client *http.Client
+	// NoKeepAliveClient sends the orders to the engines. It must not reuse connections,
+	// on which a late copy of an earlier response could pass for an order's.
+	NoKeepAliveClient *http.Client
 	// Clock is the time source. Nil means the real clock.
 	Clock *spokeclock.Clock
 	// DrainStartedFunc is called after a server has been marked for removal.
@@ -237,7 +238,7 @@
 		if _, held := m.Lease.Held(); !held {
 			return
 		}
-		engine := spokeengine.Client{URL: "http://" + instance.Address, HTTPClient: m.Client}
+		engine := spokeengine.Client{URL: "http://" + instance.Address, HTTPClient: m.NoKeepAliveClient}
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
 		err := engine.SendOrder(bounded, spokeengine.Order{Action: loadModelAction, Name: service, FencingNumber: int64(m.fence)})
 		cancel()
