claim, serve: a later run of a server doesn't say that an attempt didn't run

Callers saw: "not_run" for a booking that a server had begun, and the repeat of its key ran again, after the server had been restarted in the meantime.

Cause: a server is asked for the outcome of an attempt at the address of its name. A server that was restarted there, or another one that got the address, has no record of the attempt and reports that it has not started, which is true of its own run only.

Evidence: TestScripts/restarted_server on the code before. Server restarted during a request: the outcome is not_run backend_server_failed, want outcome_unknown; the repeat was answered, want outcome_unknown; it ran 1 time on the later run of the server, want 0. Server and claim owner restarted: the repeat was answered and ran, likewise.

Change: a claim names the run of its server as the list tells it (generation), a report names the server and its run, and "not started" of another one leaves the outcome unknown. Where the list tells no runs, only the name is checked: reports_outcomes then still asks for a record that outlives a restart.

--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -181,10 +181,22 @@
 	proxyAddress := c.startProxy("server/"+name, s.address)
 	c.sendControl("cloud", spokestandin.CloudControlRequest{Register: []spokecloud.Instance{{
 		Name: name, Role: spokecloud.RoleBackend, Service: service, DataCentre: dataCentre, Address: proxyAddress,
-		MachineClass: "small", Reclaimable: service == "assistant",
+		MachineClass: "small", Reclaimable: service == "assistant", Generation: c.serverGeneration(s),
 	}}})
 }
 
+// serverGeneration returns the run of a plain server, or zero for an engine.
+func (c *cluster) serverGeneration(s serverProcess) int64 {
+	if s.service == "assistant" {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), operationTimeout)
+	defer cancel()
+	runs, err := spokehttp.GetJSON[spokestandin.RunCounts](ctx, c.client, "http://"+s.address+"/runs")
+	require.NoError(c.t, err)
+	return runs.Generation
+}
+
 // registerEntries assigns the addresses of the entry instances and adds them to
 // the instance list, which gives each data centre the addresses of its own link
 // proxies.
--- a/spokeclaim/claims.go
+++ b/spokeclaim/claims.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokeobject"
 	"mulberryspoke.example/mulberryspoke/spokeplain"
@@ -186,10 +187,11 @@
 // Reassign moves a claim to another attempt at another server. The current
 // attempt must be certain not to have been sent. After an error, which is of kind
 // KindLost, the claim must be released.
-func (c *Claim) Reassign(ctx context.Context, attemptID, server string) error {
+func (c *Claim) Reassign(ctx context.Context, attemptID string, server spokecloud.Instance) error {
 	next := c.record
 	next.AttemptID = attemptID
-	next.Server = server
+	next.Server = server.Name
+	next.ServerGeneration = server.Generation
 	c.claims.setAttemptState(attemptID, StateClaimed)
 	r := c.claims.writer.writeRow(ctx, spoketable.Condition{Key: c.row, Version: c.version}, spoketable.EncodeWrite(c.row, next))
 	if !r.committed {
--- a/spokeclaim/claims_test.go
+++ b/spokeclaim/claims_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mulberryspoke.example/mulberryspoke/spokeclaim"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
 	"mulberryspoke.example/mulberryspoke/spoketable"
@@ -31,7 +32,7 @@
 	faults := spokestandin.TableFaults{Faults: spokestandin.Faults{AbortResponses: 1, PathPrefix: "/v1/transact"}}
 	_, err = spokehttp.PostJSON[struct{}](ctx, table.Client, server.URL+"/control", faults)
 	require.NoError(t, err)
-	require.Error(t, acquired.Acquired().Reassign(ctx, "two", "y"))
+	require.Error(t, acquired.Acquired().Reassign(ctx, "two", spokecloud.Instance{Name: "y"}))
 	acquired.Acquired().Release()
 	require.Eventually(t, func() bool {
 		rows, err := table.Read(ctx, "row")
--- a/spokeclaim/record.go
+++ b/spokeclaim/record.go
@@ -53,6 +53,9 @@
 	Owner string `json:"owner"`
 	// Server is the name of the backend server that the attempt is sent to.
 	Server string `json:"server"`
+	// ServerGeneration is the run of that server, as in the list of instances. Zero means
+	// unknown.
+	ServerGeneration int64 `json:"server_generation,omitempty"`
 	// RequestHash is the hash of the request, from HashRequest.
 	RequestHash string `json:"request"`
 	// Response is the recorded response. Its body is empty if it is in the object
--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -72,6 +72,10 @@
 type AttemptReport struct {
 	// AttemptID identifies the attempt.
 	AttemptID string `json:"attempt"`
+	// Server is the name of the server that reports.
+	Server string `json:"server"`
+	// Generation is the run of the server, as in the list of instances.
+	Generation int64 `json:"generation"`
 	// Started is true if the attempt has started.
 	Started bool `json:"ran"`
 	// Finished is true if the attempt has ended.
@@ -146,7 +150,7 @@
 }
 
 // SealAttempt asks for the outcome of an attempt. If the server reports that the
-// attempt has not started, it will never run it. It returns an error of kind
+// attempt has not started, this run of it never ran it and never will. It returns an error of kind
 // KindOutcomeUnknown or, if the report does not name the attempt, KindWrongAttempt.
 func (c *Client) SealAttempt(ctx context.Context, attemptID string) (AttemptReport, error) {
 	report, err := spokehttp.PostJSON[AttemptReport](ctx, c.HTTPClient, c.URL+"/v1/attempts/seal", SealRequest{AttemptID: attemptID})
--- a/spokeserve/once.go
+++ b/spokeserve/once.go
@@ -83,9 +83,10 @@
 
 func (c *call) newRecord(attempt spokecore.Attempt) spokeclaim.Record {
 	return spokeclaim.Record{
-		AttemptID:   newID(),
-		Server:      attempt.Server.Name,
-		RequestHash: spokeclaim.HashRequest(c.request.Method, c.access.service.Name+c.request.Path, c.request.Body),
+		AttemptID:        newID(),
+		Server:           attempt.Server.Name,
+		ServerGeneration: attempt.Server.Generation,
+		RequestHash:      spokeclaim.HashRequest(c.request.Method, c.access.service.Name+c.request.Path, c.request.Body),
 	}
 }
 
@@ -107,7 +108,7 @@
 // sendReassigned reassigns the unsent claim to another server and sends the request
 // there.
 func (c *call) sendReassigned(ctx context.Context, attempt spokecore.Attempt) (*spokecore.Response, error) {
-	if err := c.claim.unsent.Reassign(ctx, newID(), attempt.Server.Name); err != nil {
+	if err := c.claim.unsent.Reassign(ctx, newID(), attempt.Server); err != nil {
 		return nil, c.endNotSent(refuse(KindClaimsUnavailable, shortRetryAfter, "no backend server was reached, and nothing was sent"))
 	}
 	return c.sendAcquired(ctx, c.claim.unsent, attempt)
@@ -149,8 +150,7 @@
 // resolveOutcome handles an attempt that got no valid response. It asks the server
 // for the outcome if the service reports outcomes.
 func (c *call) resolveOutcome(ctx context.Context, claim *spokeclaim.Claim) (*spokecore.Response, error) {
-	record := claim.Record()
-	report, known := c.sealAttempt(ctx, record.Server, record.AttemptID)
+	report, known := c.sealAttempt(ctx, claim.Record())
 	switch {
 	case !known || (report.Started && !report.Finished):
 		claim.Abandon()
@@ -164,28 +164,36 @@
 	}
 }
 
-// sealAttempt asks a server for the outcome of an attempt and prevents the attempt
-// from running later. It waits up to sealWaitTimeout for an attempt that is running.
-// It returns false if the outcome cannot be determined.
-func (c *call) sealAttempt(ctx context.Context, serverName, attemptID string) (spokeplain.AttemptReport, bool) {
-	instance, found := c.server.Core.Registry.Lookup(serverName)
+// sealAttempt asks the server of a claim for the outcome of its attempt and prevents
+// the attempt from running later. It waits up to sealWaitTimeout for an attempt that is
+// running. It returns false if the outcome cannot be determined.
+func (c *call) sealAttempt(ctx context.Context, record spokeclaim.Record) (spokeplain.AttemptReport, bool) {
+	instance, found := c.server.Core.Registry.Lookup(record.Server)
 	if !c.access.service.ReportsOutcomes || !found {
 		return spokeplain.AttemptReport{}, false
 	}
 	server := spokeplain.Client{URL: "http://" + instance.Address, HTTPClient: c.server.NoKeepAliveClient}
 	giveUpAt := c.server.Clock.Now() + sealWaitTimeout
 	for {
-		report, err := trySeal(ctx, server, attemptID)
+		report, err := trySeal(ctx, server, record.AttemptID)
 		if spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindWrongAttempt {
 			c.server.Counters.foreignEvents.Inc()
 		}
 		decided := err == nil && (!report.Started || report.Finished)
 		if decided || c.server.Clock.Now() > giveUpAt || spokeclock.Sleep(ctx, sealInterval) != nil {
-			return report, err == nil
+			return report, err == nil && (report.Started || isOfClaimedServer(report, record))
 		}
 	}
 }
 
+// isOfClaimedServer reports whether a report is of the run of the server that holds the
+// claim's attempt. A later run of the server, or another one at its address, doesn't
+// know whether the attempt ran.
+func isOfClaimedServer(report spokeplain.AttemptReport, record spokeclaim.Record) bool {
+	isSameRun := record.ServerGeneration == 0 || report.Generation == record.ServerGeneration
+	return report.Server == record.Server && isSameRun
+}
+
 func trySeal(ctx context.Context, server spokeplain.Client, attemptID string) (spokeplain.AttemptReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, sealCallTimeout.Duration())
 	defer cancel()
@@ -205,8 +213,7 @@
 	case err == nil && state == spokeclaim.StateReleased:
 		return c.replaceClaim(ctx, claim, attempt)
 	}
-	record := claim.Record()
-	report, known := c.sealAttempt(ctx, record.Server, record.AttemptID)
+	report, known := c.sealAttempt(ctx, claim.Record())
 	switch {
 	case !known || (report.Started && !report.Finished):
 		return nil, c.endOutcomeUnknown(KindOutcomeUnknown, longRetryAfter, outcomeUnknownMessage)
--- a/spokestandin/plain.go
+++ b/spokestandin/plain.go
@@ -28,6 +28,8 @@
 	Total int `json:"total"`
 	// ByBody is the number of executions of each request body.
 	ByBody map[string]int `json:"by_body"`
+	// Generation is the run of the server.
+	Generation int64 `json:"generation"`
 }
 
 // Confirmation is the body of a plain service's response.
@@ -47,6 +49,8 @@
 	Name string
 	// ProcessingTime is how long each execution takes.
 	ProcessingTime spokeclock.Millis
+	// Generation is the run of the server. Zero means the time of its start.
+	Generation int64
 
 	injector          faultInjector
 	mutex             sync.Mutex
@@ -57,6 +61,9 @@
 
 // Handler returns the HTTP handler of the service and its control calls.
 func (p *PlainServer) Handler() http.Handler {
+	if p.Generation == 0 {
+		p.Generation = int64(spokeclock.Wall())
+	}
 	p.runs.ByBody = make(map[string]int)
 	p.attempts = make(map[string]*spokeplain.AttemptReport)
 	service := http.NewServeMux()
@@ -142,14 +149,14 @@
 		p.attempts[request.AttemptID] = report
 	}
 	answer := *report
-	answer.AttemptID = request.AttemptID
+	answer.AttemptID, answer.Server, answer.Generation = request.AttemptID, p.Name, p.Generation
 	return answer, nil
 }
 
 func (p *PlainServer) getRuns(context.Context, struct{}) (RunCounts, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	runs := RunCounts{Total: p.runs.Total, ByBody: make(map[string]int, len(p.runs.ByBody))}
+	runs := RunCounts{Total: p.runs.Total, ByBody: make(map[string]int, len(p.runs.ByBody)), Generation: p.Generation}
 	for body, count := range p.runs.ByBody {
 		runs.ByBody[body] = count
 	}
