--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
@@ -68,6 +70,12 @@
 
 // AttemptReport is the outcome of an attempt.
 type AttemptReport struct {
+	// AttemptID identifies the attempt.
+	AttemptID string `json:"attempt"`
+	// Server is the name of the server that reports.
+	Server string `json:"server"`
+	// Generation is the run of the server, as in the list of instances.
+	Generation int64 `json:"generation"`
 	// Started is true if the attempt has started.
 	Started bool `json:"ran"`
 	// Finished is true if the attempt has ended.
@@ -81,15 +89,18 @@
 type Client struct {
 	// URL is the base URL of the server.
 	URL string
-	// HTTPClient sends the requests. For requests that are not idempotent it must
-	// not reuse connections, because net/http may send a request again when a
-	// reused connection turns out to be closed.
+	// HTTPClient sends the requests. For requests that are not idempotent, and to
+	// seal attempts, it must not reuse connections: net/http may send a request again
+	// when a reused connection turns out to be closed, and a reused connection may
+	// hold a late copy of an earlier response.
 	HTTPClient *http.Client
 }
 
 // Send sends a request once. It returns an error of kind KindNotSent,
 // KindOutcomeUnknown, KindWrongAttempt or KindSealed.
 func (c *Client) Send(ctx context.Context, request Request) (Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, c.URL+request.Path, bytes.NewReader(request.Body))
 	if err != nil {
 		return Response{}, spokeerror.New("send", KindNotSent, err)
@@ -101,7 +112,7 @@
 	spoketrace.Inject(ctx, outgoing.Header)
 	response, err := c.HTTPClient.Do(outgoing)
 	if err != nil {
-		return Response{}, spokeerror.New("send", failureKind(err), err)
+		return Response{}, spokeerror.New("send", failureKind(err, connected.Load()), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
@@ -128,20 +139,26 @@
 	return checked, nil
 }
 
-func failureKind(err error) Kind {
-	if spokehttp.KindOfFailure(err) == spokehttp.KindNotSent {
+// failureKind returns the kind of a failed round trip. After a failure on a reused
+// connection, net/http may fail to connect again, so that a request that was ever given
+// a connection may have been sent.
+func failureKind(err error, connected bool) Kind {
+	if !connected && spokehttp.KindOfFailure(err) == spokehttp.KindNotSent {
 		return KindNotSent
 	}
 	return KindOutcomeUnknown
 }
 
 // SealAttempt asks for the outcome of an attempt. If the server reports that the
-// attempt has not started, it will never run it. It returns an error of kind
-// KindOutcomeUnknown.
+// attempt has not started, this run of it never ran it and never will. It returns an error of kind
+// KindOutcomeUnknown or, if the report does not name the attempt, KindWrongAttempt.
 func (c *Client) SealAttempt(ctx context.Context, attemptID string) (AttemptReport, error) {
 	report, err := spokehttp.PostJSON[AttemptReport](ctx, c.HTTPClient, c.URL+"/v1/attempts/seal", SealRequest{AttemptID: attemptID})
 	if err != nil {
 		return AttemptReport{}, spokeerror.New("seal attempt", KindOutcomeUnknown, err)
 	}
+	if report.AttemptID != attemptID {
+		return AttemptReport{}, spokeerror.Newf("seal attempt", KindWrongAttempt, "the report is of attempt %q", report.AttemptID)
+	}
 	return report, nil
 }
