engine: a token that is repeated with another text is of another run

What callers saw: the engine that took over an answer generated it again from the start, with another text. What followed the delivered tokens was joined to them.

Cause: tokens that the caller already had were dropped without being compared.

Evidence: TestBrokenStream/the_next_engine_starts_again_with_another_text in spokeserve on the code before: expected: "abc" actual : "abz"

Change: a repeated token must have the text that was delivered. Otherwise the attempt ends as out of order and another engine is asked. repeated_tokens_are_dropped passes as before.

--- a/spokeengine/engine.go
+++ b/spokeengine/engine.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -26,7 +27,8 @@
 	KindRefused Kind = "refused"
 	// KindTruncated means that the stream ended before the answer did.
 	KindTruncated Kind = "cut"
-	// KindOutOfOrder means that the stream skipped tokens.
+	// KindOutOfOrder means that the stream skipped tokens, or repeated one with another
+	// text.
 	KindOutOfOrder Kind = "out_of_order"
 )
 
@@ -46,7 +48,8 @@
 type Stream struct {
 	body      io.ReadCloser
 	attemptID string
-	nextIndex int
+	// tokens are those of the answer so far, with those that the caller already had.
+	tokens []string
 	// droppedEvents counts events that belonged to another attempt or repeated a
 	// token.
 	droppedEvents int
@@ -74,13 +77,14 @@
 		_ = response.Body.Close()
 		return nil, spokeerror.New("generate", KindRefused, &spokehttp.StatusError{Code: response.StatusCode, Body: string(text)})
 	}
-	return &Stream{body: response.Body, attemptID: request.AttemptID, nextIndex: len(request.DeliveredTokens)}, nil
+	return &Stream{body: response.Body, attemptID: request.AttemptID, tokens: slices.Clone(request.DeliveredTokens)}, nil
 }
 
 // ReadEvents calls handle with each event of the attempt, in order and without
 // gaps, until the answer ends or handle returns an error. It drops events of
-// other attempts and repeated ones. It returns the error of handle, or an error
-// of kind KindTruncated or KindOutOfOrder.
+// other attempts and repeated ones; a token that is repeated with another text is of
+// another run. It returns the error of handle, or an error of kind KindTruncated or
+// KindOutOfOrder.
 func (s *Stream) ReadEvents(handle func(Event) error) error {
 	defer func() { _ = s.body.Close() }()
 	for frame, err := range sse.Read(s.body, nil) {
@@ -102,15 +106,22 @@
 // forwardEvent calls handle with an event unless it is dropped, and reports
 // whether the answer has ended.
 func (s *Stream) forwardEvent(event Event, handle func(Event) error) (bool, error) {
-	if event.AttemptID != s.attemptID || event.Index < s.nextIndex {
+	if event.AttemptID != s.attemptID {
 		s.droppedEvents++
 		return false, nil
 	}
-	if event.Index > s.nextIndex {
-		return false, spokeerror.Newf("read stream", KindOutOfOrder, "received token %d instead of %d", event.Index, s.nextIndex)
+	if event.Index < 0 || event.Index > len(s.tokens) {
+		return false, spokeerror.Newf("read stream", KindOutOfOrder, "received token %d instead of %d", event.Index, len(s.tokens))
+	}
+	if event.Index < len(s.tokens) {
+		if event.FinishReason == "" && event.Token != s.tokens[event.Index] {
+			return false, spokeerror.Newf("read stream", KindOutOfOrder, "received token %d again with another text", event.Index)
+		}
+		s.droppedEvents++
+		return false, nil
 	}
 	if event.FinishReason == "" {
-		s.nextIndex++
+		s.tokens = append(s.tokens, event.Token)
 	}
 	return event.FinishReason != "", handle(event)
 }
