spokeserve: reset the connection of a broken answer without chunks

What callers saw: those that speak HTTP/1.0 got an error event, and a connection that ended like that of a complete answer.

Cause: as on the platform's interface, an answer without chunks ends with its connection, which was closed in both cases.

Evidence: TestBrokenStream/a_broken_stream_to_a_caller_without_chunks in spokeserve on the code before: expected: true (a broken connection) actual : false

Change: such a connection is reset.

--- a/spokeserve/requestdetails.go
+++ b/spokeserve/requestdetails.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"path"
 
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
@@ -22,9 +23,11 @@
 
 // WithRequestDetails wraps the generated server's handler. It lets a request's
 // method, query and content type reach a plain service and the service's status
-// reach the caller, and continues the caller's trace.
+// reach the caller, continues the caller's trace, and makes a broken answer look broken
+// to every caller.
 func WithRequestDetails(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer spokehttp.ResetOnAbort(w, r)
 		details := &requestDetails{method: r.Method, query: r.URL.RawQuery, contentType: r.Header.Get("Content-Type")}
 		ctx := spoketrace.Extract(r.Context(), r.Header)
 		ctx = context.WithValue(ctx, requestDetailsKey{}, details)
