--- a/spokecore/core_test.go
+++ b/spokecore/core_test.go
@@ -37,6 +37,9 @@
 	// between the two.
 	Padding int               `yaml:"padding"`
 	Stall   spokeclock.Millis `yaml:"stall_millis"`
+	// HangsAfter means that nothing follows the body, not even its end, until the
+	// attempt is cancelled.
+	HangsAfter bool `yaml:"hangs_after"`
 	// Recorded means that the front replays a recorded answer.
 	Recorded bool `yaml:"recorded"`
 	// From is the ID of the event after which the attempt must resume.
@@ -140,6 +143,9 @@
 	if b.Padding > 0 {
 		body = io.MultiReader(strings.NewReader(strings.Repeat("x", b.Padding)), stallingReader{ctx: ctx, stall: b.Stall}, body)
 	}
+	if b.HangsAfter {
+		body = io.MultiReader(body, stallingReader{ctx: ctx, stall: maxStall})
+	}
 	if b.Cut {
 		body = io.MultiReader(body, brokenReader{})
 	}
@@ -150,6 +156,9 @@
 	return response, nil
 }
 
+// maxStall is longer than any test.
+const maxStall = 3600 * spokeclock.Second
+
 // stallingReader is a part of a body that takes its time and has no bytes.
 type stallingReader struct {
 	ctx   context.Context //nolint:containedctx // The context of the attempt ends the stall.
