plain: a response over the limit is not complete

What callers saw: a response of a plain service of more than 64 MiB ended there, with a length of its own, as if it were complete; for a booking it was recorded so.

Cause: the limited reader ends a longer body like a complete one.

Change: one byte more is read, and a longer response counts as an unknown outcome. The other limited bodies are either read with one byte more as well (spokecore, spokeobject, spokeserve) or are JSON, which can't be decoded once it is cut.

--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -104,10 +104,13 @@
 		return Response{}, spokeerror.New("send", failureKind(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return Response{}, spokeerror.New("send", KindOutcomeUnknown, err)
 	}
+	if len(body) > maxResponseBytes {
+		return Response{}, spokeerror.Newf("send", KindOutcomeUnknown, "the response is longer than %d bytes", maxResponseBytes)
+	}
 	return checkResponse(request, response, body)
 }
 
