standin, integration: errors in place of the rest of a stream

The stand-in of an engine can answer a request to resume an answer with status 500, or with an event stream whose text is the head of an error.

--- a/spokestandin/engine.go
+++ b/spokestandin/engine.go
@@ -40,6 +40,12 @@
 	// MissingTokenStreams is the number of streams from which the second token
 	// is left out.
 	MissingTokenStreams int `json:"skip,omitempty"`
+	// RefusedResumes is the number of requests to resume an answer that are
+	// answered with status 500.
+	RefusedResumes int `json:"refuse_resumes,omitempty"`
+	// GarbledResumes is the number of requests to resume an answer that are
+	// answered with an event stream whose text is an error.
+	GarbledResumes int `json:"garble_resumes,omitempty"`
 	// LoadLag is the age of load reports.
 	LoadLag spokeclock.Millis `json:"load_lag_millis,omitempty"`
 	// CacheEventGaps omits every second cache event.
--- a/spokestandin/engineservice.go
+++ b/spokestandin/engineservice.go
@@ -58,6 +58,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.refuseResume(w, request) {
+		return
+	}
 	s := e.enqueue(request)
 	defer e.cancelSequence(s)
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/spokestandin/streamfault.go
+++ b/spokestandin/streamfault.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 
 	"mulberryspoke.example/mulberryspoke/spokeengine"
@@ -29,6 +30,29 @@
 	return fault
 }
 
+// errorStream is an error page in the place of an answer's events.
+const errorStream = "HTTP/1.1 500 Internal Server Error\r\n\r\ndata: {\"error\": \"out of memory\"}\n\n"
+
+// refuseResume answers a request to resume an answer with an error if that is the
+// next fault, and reports whether it did.
+func (e *Engine) refuseResume(w http.ResponseWriter, request spokeengine.GenerateRequest) bool {
+	if len(request.DeliveredTokens) == 0 {
+		return false
+	}
+	e.mutex.Lock()
+	isRefused := decrementIfPositive(&e.faults.RefusedResumes)
+	isGarbled := !isRefused && decrementIfPositive(&e.faults.GarbledResumes)
+	e.mutex.Unlock()
+	switch {
+	case isRefused:
+		http.Error(w, "out of memory", http.StatusInternalServerError)
+	case isGarbled:
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, errorStream)
+	}
+	return isRefused || isGarbled
+}
+
 func decrementIfPositive(count *int) bool {
 	if *count == 0 {
 		return false
