spokecore: a stream that can't be resumed isn't moved

What callers saw: a stream on an idempotent route broke off, with a sound server, after a pause of two targets of the time between events.

Cause: the watchdog asked whether the request may run again, as an idempotent one may, but once a part was forwarded only a resumable stream can go on elsewhere.

Evidence: TestServe/a_stream_on_an_idempotent_route_stays_at_a_silent_server_once_it_has_ begun on the code before: expected: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" actual : "id: 1\ndata: a\n\n"

Change: after an event of a stream that may not be resumed the attempt isn't cancelled to move it.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -123,7 +123,7 @@
 	}
 	r.eventCount.Add(1)
 	if !event.isComment() {
-		r.cannotResume.Store(event.ID == "")
+		r.cannotResume.Store(event.ID == "" || !r.request.isResumable())
 	}
 	if !r.headWritten {
 		r.headWritten = true
--- a/spokecore/core_test.go
+++ b/spokecore/core_test.go
@@ -33,10 +33,11 @@
 	// Body is the body of the answer. Cut means that the connection then breaks.
 	Body string `yaml:"body"`
 	Cut  bool   `yaml:"cut"`
-	// Padding is the number of bytes that precede the body, and Stall the time
-	// between the two.
-	Padding int               `yaml:"padding"`
-	Stall   spokeclock.Millis `yaml:"stall_millis"`
+	// Padding is the number of bytes that precede the body.
+	Padding int `yaml:"padding"`
+	// Stall is the time after which Rest follows the body.
+	Stall spokeclock.Millis `yaml:"stall_millis"`
+	Rest  string            `yaml:"rest"`
 	// HangsAfter means that nothing follows the body, not even its end, until the
 	// attempt is cancelled.
 	HangsAfter bool `yaml:"hangs_after"`
@@ -139,9 +140,9 @@
 	if b.Error != "" {
 		return nil, spokeerror.New("send", b.Error, nil)
 	}
-	body := io.Reader(strings.NewReader(b.Body))
-	if b.Padding > 0 {
-		body = io.MultiReader(strings.NewReader(strings.Repeat("x", b.Padding)), stallingReader{ctx: ctx, stall: b.Stall}, body)
+	body := io.Reader(strings.NewReader(strings.Repeat("x", b.Padding) + b.Body))
+	if b.Stall > 0 {
+		body = io.MultiReader(body, stallingReader{ctx: ctx, stall: b.Stall}, strings.NewReader(b.Rest))
 	}
 	if b.HangsAfter {
 		body = io.MultiReader(body, stallingReader{ctx: ctx, stall: maxStall})
