peer: what a peer says is bounded before it is used

What could happen: one number in one message of a peer that is wrong acts on this instance for long. A heartbeat interval of 2^63 keeps the peer from ever being suspected. A summary with a negative age never gets old, and one with 2^63 instances makes the number of all negative. A counter of 2^63 uses up a workspace's allotment, and its difference to the next overflows. A hello with the greatest generation keeps the peer's later runs out. Requests in flight of 2^62 make a server's sum over all peers negative.

Cause: messages of peers were bounded in length only. Peers run the same program, so that such a number needs a fault of it, of the memory, or a stranger on the port.

Change: hellos and heartbeats pass bounds, which leave out single entries; the rest of the message holds.

--- a/spokepeer/export_test.go
+++ b/spokepeer/export_test.go
@@ -6,3 +6,9 @@
 func (i InFlightByServer) WithoutOutdatedPrefill(interval spokeclock.Millis) InFlightByServer {
 	return i.withoutOutdatedPrefill(interval)
 }
+
+// Bounded exports bounded.
+func (h Heartbeat) Bounded() Heartbeat { return h.bounded() }
+
+// Bounded exports bounded.
+func (h Hello) Bounded() (Hello, bool) { return h.bounded() }
--- a/spokepeer/inflight.go
+++ b/spokepeer/inflight.go
@@ -37,7 +37,10 @@
 	return i
 }
 
-var errTruncated = errors.New("encoded requests in flight are truncated or malformed")
+var (
+	errTruncated = errors.New("encoded requests in flight are truncated or malformed")
+	errTooMany   = errors.New("encoded requests in flight name too many servers")
+)
 
 // MarshalJSON implements json.Marshaler.
 func (i InFlightByServer) MarshalJSON() ([]byte, error) {
@@ -92,24 +95,27 @@
 	if err != nil {
 		return inFlight, nil, err
 	}
-	inFlight.Requests = int(requestsAndFlags >> flagBits)
+	inFlight.Requests = boundedInFlight(requestsAndFlags >> flagBits)
 	if requestsAndFlags&flagLongRequests != 0 {
 		var longRequests uint64
 		if longRequests, encoded, err = readUvarint(encoded); err != nil {
 			return inFlight, nil, err
 		}
-		inFlight.LongRequests = int(longRequests)
+		inFlight.LongRequests = boundedInFlight(longRequests)
 	}
 	if requestsAndFlags&flagPrefillUnits != 0 {
 		var prefillUnits uint64
 		if prefillUnits, encoded, err = readUvarint(encoded); err != nil {
 			return inFlight, nil, err
 		}
-		inFlight.PrefillUnits = int(prefillUnits)
+		inFlight.PrefillUnits = boundedInFlight(prefillUnits)
 	}
 	return inFlight, encoded, nil
 }
 
+// boundedInFlight bounds a count, so that sums over all peers don't overflow.
+func boundedInFlight(count uint64) int { return int(min(count, maxInFlight)) }
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (i *InFlightByServer) UnmarshalJSON(text []byte) error {
 	var encodedText string
@@ -131,6 +137,9 @@
 		if err != nil {
 			return err
 		}
+		if len(*i) >= maxServers {
+			return errTooMany
+		}
 		encoded = rest
 		id += spokebackend.ID(difference)
 		(*i)[id] = inFlight
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		return false
 	}
+	response, _ = response.bounded()
 	l.node.View.MergeDataCentres(response.DataCentres)
 	if response.Revision > l.node.Store.Revision() {
 		l.node.fetchConfig(ctx, rpc)
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -72,6 +72,10 @@
 }
 
 func (s *session) handleHello(hello Hello) (any, error) {
+	hello, isPeer := hello.bounded()
+	if !isPeer {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no identity of an instance"}
+	}
 	if !s.node.View.RecordHello(hello.Identity) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "an older run of the instance"}
 	}
@@ -92,6 +96,7 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "no hello"}
 	}
 	n := s.node
+	h = h.bounded()
 	n.View.RecordHeartbeat(s.peer, h.Revision, h.Draining, h.Interval)
 	n.View.MergeDataCentres(h.DataCentres)
 	n.Registry.UpdatePeerInFlight(s.peer, h.InFlight)
