feed: a relay refuses updates that a link can't carry

What would happen: many large rows of another writer in a table of servers, some 1000 of the 16 KB that a row may have, make the whole table longer than the 16 MB that a link takes. The peer that asked for it closes the link, with all that is told on it, and asks again.

Evidence: TestLargeRelay, with nine rows of 1 MB and the code as before expected: "unavailable" actual : ""

Change: an update of more than 8 MB is refused as unavailable, and the peer reads the table by itself, as it does when a relay fails. After: ./spokefeed passes.

--- a/spokefeed/relay.go
+++ b/spokefeed/relay.go
@@ -13,6 +13,9 @@
 const (
 	// relayHistory is the number of changes that a relay keeps.
 	relayHistory = 1024
+	// maxUpdateBytes bounds an update. A link refuses longer messages, which ends all that
+	// is told on it.
+	maxUpdateBytes = 8 << 20
 	// DefaultMaxConfirmAge is the default of Relay.MaxConfirmAge.
 	DefaultMaxConfirmAge = spokeclock.Second
 )
@@ -162,7 +165,7 @@
 		for _, row := range r.rows {
 			update.Rows = append(update.Rows, row)
 		}
-		return update, r.changed, nil
+		return update, r.changed, update.check()
 	}
 	included := make(map[string]bool, missing)
 	for _, key := range r.changes[int64(len(r.changes))-missing:] {
@@ -176,5 +179,17 @@
 			update.Removed = append(update.Removed, key)
 		}
 	}
-	return update, r.changed, nil
+	return update, r.changed, update.check()
+}
+
+// check returns an error of kind KindUnavailable for an update that is too long.
+func (u *RelayUpdate) check() error {
+	size := 0
+	for _, row := range u.Rows {
+		size += len(row.Key) + len(row.Value)
+	}
+	if size > maxUpdateBytes {
+		return spokeerror.Newf("relay table", KindUnavailable, "%d changed rows have %d bytes, more than %d", len(u.Rows), size, maxUpdateBytes)
+	}
+	return nil
 }
--- a/spokefeed/relay_test.go
+++ b/spokefeed/relay_test.go
@@ -81,3 +81,25 @@
 		require.ElementsMatch(t, step.Removed, update.Removed, "step %d", i+1)
 	}
 }
+
+// TestLargeRelay guards against an update so long that the link to the peer refuses it.
+func TestLargeRelay(t *testing.T) {
+	var clock spokeclock.Manual
+	clock.Advance(1)
+	relay := &spokefeed.Relay{Generation: 1, Clock: clock.Clock()}
+	rows := make(map[string]spoketable.Row)
+	for i := range 9 {
+		key := string(rune('a' + i))
+		rows[key] = spoketable.Row{Key: key, Value: make([]byte, 1<<20), Version: 1}
+	}
+	relay.Set(rows)
+	relay.Confirm(spokefeed.Position{Version: 1, ReadAt: clock.Clock().Now()})
+	_, err := relay.Changes(context.Background(), spokefeed.RelayRequest{})
+	require.Equal(t, spokefeed.KindUnavailable, spokeerror.KindOf[spokefeed.Kind](err))
+	rows["a"] = spoketable.Row{Key: "a", Version: 2}
+	delete(rows, "b")
+	relay.Set(rows)
+	update, err := relay.Changes(context.Background(), spokefeed.RelayRequest{})
+	require.NoError(t, err)
+	require.Len(t, update.Rows, 8)
+}
