error: the text of a cause is bounded

What operators would see: an entry of another writer with a number of a megabyte fills a log line of a megabyte at every instance, once for each version of the entry.

Cause: encoding/json puts the literal that it can't use into its error, and errors went into log lines and into answers to peers in full.

Evidence: TestLongCause with the code as before "1048690" is not less than "1100"

Change: an error's text has at most 1000 bytes of its cause; the cause itself stays in the chain.

After: the test passes.

--- a/spokeerror/error.go
+++ b/spokeerror/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -37,12 +38,21 @@
 // Unwrap returns the cause, which may be nil.
 func (e *Error[K]) Unwrap() error { return e.cause }
 
-// Error returns the operation, the kind and the cause, separated by colons.
+// maxCauseBytes bounds the text of a cause. Some decoders repeat the data that they
+// reject, whose length anyone may choose.
+const maxCauseBytes = 1000
+
+// Error returns the operation, the kind and the cause, separated by colons. A long
+// cause is cut off.
 func (e *Error[K]) Error() string {
 	if e.cause == nil {
 		return e.operation + ": " + string(e.kind)
 	}
-	return e.operation + ": " + string(e.kind) + ": " + e.cause.Error()
+	cause := e.cause.Error()
+	if len(cause) > maxCauseBytes {
+		cause = strings.ToValidUTF8(cause[:maxCauseBytes], "") + "..."
+	}
+	return e.operation + ": " + string(e.kind) + ": " + cause
 }
 
 // KindOf returns the kind of the first *Error[K] in the chain of err, or the
