backend: what is reported of a server is bounded

What callers would see at the product's own interface: one engine that reports, or is listed with, 2^63-1 slots makes the capacity of its service negative, and all its requests are refused. One that reports a load whose sum overflows looks idle and draws them all; a report of the future never gets old.

Cause: load reports, the list of instances, notices and peers' reports were taken as they came.

After: all cases and the package's tests pass.

--- a/spokebackend/peers.go
+++ b/spokebackend/peers.go
@@ -26,7 +26,7 @@
 	if len(r.peerSlots) > maxPeerSlots {
 		clear(r.peerSlots)
 	}
-	r.peerSlots[id] = slots
+	r.peerSlots[id] = boundedReport(slots)
 }
 
 // slotsOf returns a server's slots from its own report, the platform's list or
@@ -36,7 +36,7 @@
 		return s.load.Slots
 	}
 	if s.instance.Slots > 0 {
-		return s.instance.Slots
+		return boundedReport(s.instance.Slots)
 	}
 	if slots := r.peerSlots[IDOf(s.instance.Name)]; slots > 0 {
 		return slots
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -18,6 +18,16 @@
 // unlistedGrace is how long a server is kept after a suspect list omits it.
 const unlistedGrace = 60 * spokeclock.Second
 
+const (
+	// maxReported bounds the slots and the load of a server, whoever reports them, so that
+	// sums over many servers don't overflow.
+	maxReported = 1 << 16
+	// maxRemaining bounds the time until a server is removed, and maxReportAge that since
+	// its load was measured.
+	maxRemaining = 24 * 60 * 60 * spokeclock.Second
+	maxReportAge = maxRemaining
+)
+
 // defaultSlots is the number of slots assumed until a server has reported.
 const defaultSlots = 8
 
@@ -226,10 +236,10 @@
 	}
 	s.removalSource = removal.Source
 	remaining := removal.Remaining
-	if remaining == 0 {
+	if remaining <= 0 {
 		remaining = defaultRemaining
 	}
-	s.expectedGoneAt = r.Clock.Now() + remaining
+	s.expectedGoneAt = r.Clock.Now() + min(remaining, maxRemaining)
 	callbacks := make([]func(Removal), 0, len(r.removalFuncs[name]))
 	for _, removalFunc := range r.removalFuncs[name] {
 		callbacks = append(callbacks, removalFunc)
@@ -321,10 +331,15 @@
 	defer r.mutex.Unlock()
 	if s, found := r.servers[name]; found {
 		s.load = load
-		s.loadMeasuredAt = r.Clock.Now() - load.Age
+		s.load.Running, s.load.Waiting, s.load.Slots = boundedReport(load.Running), boundedReport(load.Waiting), boundedReport(load.Slots)
+		s.loadMeasuredAt = r.Clock.Now() - min(max(0, load.Age), maxReportAge)
 	}
 }
 
+// boundedReport returns a number that a server, a list or a peer has reported, within
+// bounds.
+func boundedReport(number int) int { return min(max(0, number), maxReported) }
+
 // LocalServerNames returns the names of the servers of this data centre, in
 // order.
 func (r *Registry) LocalServerNames() []string {
