usage: windows that can't have begun are ignored

What operators would see: no usage report any more. One counter of a peer that names a far window as the newest that is stored, or one stored report of such a window, makes the reporter take all windows for reported. Counts of far windows are kept for ever.

Cause: window numbers from peers and from the table were taken as they came, and the greatest one wins.

Change: a window more than 16384 after the present one (22 hours for windows of 5 s), or before the first, is ignored wherever it comes from. The margin is for instances whose wall clocks are ahead.

--- a/spokeusage/ledger.go
+++ b/spokeusage/ledger.go
@@ -18,6 +18,9 @@
 	// windowsKept is how many past windows are kept: those that can still be
 	// reported, and some more for a report that is sent again.
 	windowsKept = 8
+	// maxWindowsAhead bounds the windows of counts and reports of other instances, whose
+	// wall clocks may be ahead.
+	maxWindowsAhead = 1 << 14
 )
 
 // Ledger counts started requests by window and workspace, for this instance and
@@ -53,6 +56,11 @@
 	return Window(l.wall() / l.WindowLength)
 }
 
+// isPlausible reports whether a window can have begun by the wall clock of some instance.
+func (l *Ledger) isPlausible(w Window) bool {
+	return w >= 0 && l.WindowLength > 0 && w <= l.CurrentWindow()+maxWindowsAhead
+}
+
 // SinceEnd returns the time since a window's end. It is negative until then.
 func (l *Ledger) SinceEnd(w Window) spokeclock.Millis {
 	return l.wall() - spokeclock.Millis(w+1)*l.WindowLength
@@ -136,7 +144,7 @@
 	if l.peers[run] == nil {
 		l.peers[run] = make(map[Window]map[string]int64)
 	}
-	mergeCounts(l.peers[run], counts)
+	l.mergeCounts(l.peers[run], counts)
 	l.prunePeers()
 }
 
@@ -172,15 +180,16 @@
 		l.dataCentres[dataCentre] = make(map[Window]map[string]int64)
 	}
 	windows := l.dataCentres[dataCentre]
-	mergeCounts(windows, counts)
+	l.mergeCounts(windows, counts)
 	prune(windows, l.CurrentWindow())
 }
 
 // mergeCounts takes the greater of each known and each new count, as counts of one
-// origin never decrease. Keys of other counters are ignored.
-func mergeCounts(windows map[Window]map[string]int64, counts map[string]int64) {
+// origin never decrease. Keys of other counters and of windows that can't have begun are
+// ignored.
+func (l *Ledger) mergeCounts(windows map[Window]map[string]int64, counts map[string]int64) {
 	for key, count := range counts {
-		if w, workspace, ok := parseCountKey(key); ok {
+		if w, workspace, ok := parseCountKey(key); ok && l.isPlausible(w) {
 			setCount(windows, w, workspace, max(count, windows[w][workspace]))
 		}
 	}
--- a/spokeusage/reporter.go
+++ b/spokeusage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -94,9 +95,12 @@
 }
 
 // SetPeerCounts records the newest window that a peer knows to be stored. Keys of
-// other counters are ignored.
+// other counters are ignored, and so is a window that can't have begun, after which none
+// would be reported.
 func (r *Reporter) SetPeerCounts(counts map[string]int64) {
-	r.recordStored(Window(counts[storedWindowKey]))
+	if w := Window(counts[storedWindowKey]); r.Ledger.isPlausible(w) {
+		r.recordStored(w)
+	}
 }
 
 // IsStoredWindowKey reports whether a counter is the newest stored window, which
@@ -178,8 +182,8 @@
 		r.Log.Error().Err(err).Msg("Stored usage reports are malformed.")
 		return false
 	}
-	r.stored = stored
-	r.remember(stored)
+	r.stored = slices.DeleteFunc(stored, func(report Report) bool { return !r.Ledger.isPlausible(report.Window) })
+	r.remember(r.stored)
 	return true
 }
 
--- a/spokeusage/reporter_test.go
+++ b/spokeusage/reporter_test.go
@@ -36,6 +36,10 @@
 		Restore bool `yaml:"restore"`
 		// Restart are instances that are killed and started again.
 		Restart []string `yaml:"restart"`
+		// OddCounts are counters that a gets from a third instance, and OddRow is what is
+		// written in place of the stored reports.
+		OddCounts map[string]int64 `yaml:"odd_counts"`
+		OddRow    string           `yaml:"odd_row"`
 		// ResponsesLost is whether the platform's responses to reports are lost.
 		ResponsesLost bool `yaml:"lost"`
 		// Sent has the windows sent in this step, counted from the script's
@@ -143,6 +147,12 @@
 			s.ledgers[step.CountsTo].SetPeerCounts(other, 1, s.ledgers[other].Counts())
 			s.reporters[step.CountsTo].SetPeerCounts(s.reporters[other].Counts())
 		}
+		s.ledgers["a"].SetPeerCounts("odd", 1, step.OddCounts)
+		s.reporters["a"].SetPeerCounts(step.OddCounts)
+		if step.OddRow != "" {
+			_, err := s.table.Transact(context.Background(), spoketable.Transaction{Writes: []spoketable.Write{{Key: "usage/decided", Value: []byte(step.OddRow)}}})
+			require.NoError(s, err)
+		}
 		if step.Acquire != "" {
 			s.leases[step.Acquire].AcquireOrRenew(context.Background())
 		}
