lease: a record out of range starts no second holder

What operators would see: two holders of one duty at once, or orders with a fencing number that has fallen. A record with a term of 2^63-1 makes the time that a contender waits overflow, so that it takes the lease over at once. One with the greatest fencing number is followed by a negative one, and one of an era that hasn't begun by a lower one.

Cause: the numbers of a record were used as they were read.

Change: another holder's term is waited out for five minutes at most. A record whose fencing number or era is out of range is malformed, as one that can't be decoded; nobody takes the lease until the next good row, since no greater number is known to follow.

--- a/spokelease/lease.go
+++ b/spokelease/lease.go
@@ -18,6 +18,10 @@
 	// fencesPerEra is added to the fencing number with each restore of the table. It
 	// exceeds the number of holders that a restore can make the table forget.
 	fencesPerEra = 1_000_000
+	// maxRecordTerm bounds the term of another holder's record, which is waited out.
+	maxRecordTerm = 5 * 60 * spokeclock.Second
+	// maxFence bounds the fencing number of a record, so that a greater one follows.
+	maxFence = 1 << 62
 	// ownRecordRenewals is the number of renewal intervals after which a record of
 	// this instance that this process didn't write is certain to be of a run that has
 	// ended.
@@ -144,6 +148,11 @@
 		l.Log.Error().Err(err).Str("lease", l.Name).Msg("Lease row is malformed.")
 		return Record{}, false
 	}
+	if record.Fence < 0 || record.Fence > maxFence || record.Era < 0 || record.Era > row.Era {
+		l.Log.Error().Int64("fence", int64(record.Fence)).Int64("era", int64(record.Era)).Str("lease", l.Name).Msg("Lease row is out of range.")
+		return Record{}, false
+	}
+	record.Term = min(record.Term, maxRecordTerm)
 	return record, true
 }
 
--- a/spokelease/lease_test.go
+++ b/spokelease/lease_test.go
@@ -23,18 +23,20 @@
 }
 
 type leaseStep struct {
-	Note         string                   `yaml:"note"`
-	Advance      spokeclock.Millis        `yaml:"advance_millis"`
-	TableDown    bool                     `yaml:"table_down"`
-	TableUp      bool                     `yaml:"table_up"`
-	LoseResponse bool                     `yaml:"lose_answer"`
-	Copy         bool                     `yaml:"copy"`
-	Restore      bool                     `yaml:"restore"`
-	Restart      []string                 `yaml:"restart"`
-	Act          string                   `yaml:"act"`
-	Release      string                   `yaml:"release"`
-	Held         []string                 `yaml:"held"`
-	Fence        spokelease.FencingNumber `yaml:"fence"`
+	Note         string            `yaml:"note"`
+	Advance      spokeclock.Millis `yaml:"advance_millis"`
+	TableDown    bool              `yaml:"table_down"`
+	TableUp      bool              `yaml:"table_up"`
+	LoseResponse bool              `yaml:"lose_answer"`
+	Copy         bool              `yaml:"copy"`
+	Restore      bool              `yaml:"restore"`
+	Restart      []string          `yaml:"restart"`
+	// Row is what another writer puts in place of the lease's row.
+	Row     string                   `yaml:"row"`
+	Act     string                   `yaml:"act"`
+	Release string                   `yaml:"release"`
+	Held    []string                 `yaml:"held"`
+	Fence   spokelease.FencingNumber `yaml:"fence"`
 }
 
 // faults returns the faults to set at the table, and whether there are any.
@@ -84,6 +86,10 @@
 		for _, name := range s.Restart {
 			start(name)
 		}
+		if s.Row != "" {
+			_, err := table.Transact(context.Background(), spoketable.Transaction{Writes: []spoketable.Write{{Key: "lease/duty", Value: []byte(s.Row)}}})
+			require.NoError(t, err)
+		}
 		if s.Act != "" {
 			leases[s.Act].AcquireOrRenew(context.Background())
 		}
