throttle: the parts of an extreme limit are the same on every machine

What callers could see on x86-64: a server names a limit of 1e300 requests a second, and only one instance sends to it. The number of parts, 5e299, is no integer; converting it gives the least one there and the greatest on arm64.

Evidence: by the language's specification, such a conversion depends on the machine. On arm64 TestExtremeLimits passes before and after; x86-64 was not run.

Change: the number of parts and the interval of probes are bounded before they are converted. After: ./spokethrottle passes on arm64.

--- a/spokethrottle/bucket.go
+++ b/spokethrottle/bucket.go
@@ -75,7 +75,7 @@
 
 // partCount returns the number of parts of a limit among some members.
 func partCount(limit float64, members int) int {
-	return max(1, min(int(limit/minPartRate), members))
+	return max(1, int(min(limit/minPartRate, float64(members))))
 }
 
 // bucket is the token bucket for an instance's part of one limit.
@@ -119,7 +119,8 @@
 	if limit <= 0 {
 		return maxProbeInterval
 	}
-	return min(max(minProbeInterval, spokeclock.Millis(2*float64(spokeclock.Second)/limit)), maxProbeInterval)
+	interval := min(2*float64(spokeclock.Second)/limit, float64(maxProbeInterval))
+	return max(minProbeInterval, spokeclock.Millis(interval))
 }
 
 func (b *bucket) hasToken() bool { return b.level >= 1 || b.canProbe }
--- a/spokethrottle/throttle_test.go
+++ b/spokethrottle/throttle_test.go
@@ -279,3 +279,21 @@
 	s.now += 5 * 60 * spokeclock.Second
 	require.Zero(t, throttle.LimitedCount())
 }
+
+// TestExtremeLimits guards against limits that no integer holds. Converting them gives
+// different numbers on different machines, and on some only one instance got a part.
+func TestExtremeLimits(t *testing.T) {
+	for limit, wantsAll := range map[float64]bool{1e300: true, 1e-300: false} {
+		for _, self := range []string{"a", "b", "c"} {
+			clock := &spokeclock.Manual{}
+			clock.Advance(spokeclock.Second)
+			throttle := &spokethrottle.Throttle{Clock: clock.Clock(), MembersFunc: func(string) spokethrottle.Members {
+				return spokethrottle.Members{Self: self, Instances: []string{"a", "b", "c"}}
+			}}
+			server := spokethrottle.Server{Name: "s", Generation: 1}
+			throttle.Merge(spokethrottle.News{Limits: []spokethrottle.LimitNews{{Server: "s", Generation: 1, PerSecond: &limit}}}, true)
+			clock.Advance(spokeclock.Second)
+			require.Equal(t, wantsAll, throttle.Take(server), "limit %g at %s", limit, self)
+		}
+	}
+}
