cloud: one unreadable entry no longer hides the list of instances

What would happen at the product's own interface: one entry of the list of instances, or one reclaim notice, with a number out of range or a field of another type makes the whole list unreadable. Instances keep the last list for as long as the entry stands, and notice neither new servers nor reclaims.

Cause: the list was decoded as a whole.

Evidence, TestOddInstances with the code as before, five of six cases, such as a_number_out_of_range read instance list: unavailable: decode response: no_answer: json: cannot unmarshal number 1e400 into Go struct field Instance.instances.slots of type int

Change: spokehttp.Entries decodes each entry by itself and leaves out those that can't be. The numbers of the others are bounded by the registry. After: all cases pass.

--- a/spokecloud/message.go
+++ b/spokecloud/message.go
@@ -1,6 +1,9 @@
 package spokecloud
 
-import "mulberryspoke.example/mulberryspoke/spokeclock"
+import (
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+)
 
 // Role is the function of an instance.
 type Role string
@@ -54,7 +57,7 @@
 // InstanceList is the list of instances.
 type InstanceList struct {
 	// Instances are the entries of the list.
-	Instances []Instance `json:"instances"`
+	Instances spokehttp.Entries[Instance] `json:"instances"`
 }
 
 // ReclaimNotice announces that an instance will be reclaimed.
@@ -68,7 +71,7 @@
 // ReclaimNotices is the list of active notices.
 type ReclaimNotices struct {
 	// Notices are the active notices.
-	Notices []ReclaimNotice `json:"notices"`
+	Notices spokehttp.Entries[ReclaimNotice] `json:"notices"`
 }
 
 // StartRequest is a request to start an instance.
--- a/spokehttp/codec.go
+++ b/spokehttp/codec.go
@@ -135,6 +135,26 @@
 	return decoded, response.Header, nil
 }
 
+// Entries is a list whose entries other processes have written. Each is decoded by itself,
+// and those that can't be are left out.
+type Entries[Entry any] []Entry
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (e *Entries[Entry]) UnmarshalJSON(text []byte) error {
+	var texts []json.RawMessage
+	if err := json.Unmarshal(text, &texts); err != nil {
+		return err
+	}
+	*e = make(Entries[Entry], 0, len(texts))
+	for _, entryText := range texts {
+		var entry Entry
+		if json.Unmarshal(entryText, &entry) == nil && string(entryText) != "null" {
+			*e = append(*e, entry)
+		}
+	}
+	return nil
+}
+
 // DecodeJSON decodes a JSON body of at most limit bytes. Unknown fields are
 // errors. It returns an error of kind KindMalformed.
 func DecodeJSON[Request any](body io.Reader, limit int64) (Request, error) {
