quarantine: an age in a peer's news can't overflow

What could happen: a crash with an age of 2^63-1, which no longer counts, is passed on a second later with an age of -2^63, and counts as new at the instances that hear it.

Change: ages in news are 0 to one hour; a crash counts for a minute. After: ./spokequarantine passes.

--- a/spokequarantine/news.go
+++ b/spokequarantine/news.go
@@ -31,6 +31,12 @@
 	Age spokeclock.Millis `json:"age_millis"`
 }
 
+// maxNewsAge bounds the ages in news, so that they don't overflow when they are passed on. It
+// is above the time after which a crash no longer counts.
+const maxNewsAge = 60 * 60 * spokeclock.Second
+
+func boundedAge(age spokeclock.Millis) spokeclock.Millis { return min(max(0, age), maxNewsAge) }
+
 // NewsSince returns the suspects that have changed after a sequence number, the
 // earliest changes first, and the number up to which they are included. A peer of this
 // data centre, for which isLocal is set, isn't told what others of it have told here. With
@@ -86,13 +92,13 @@
 // is known, which the peer may not have heard of.
 func (q *Quarantine) mergeSuspect(s *suspect, n SuspectNews, now spokeclock.Millis) (isNews, contradicts bool) {
 	if n.AnsweredAge > 0 {
-		isNews = s.applyAnswer(now - n.AnsweredAge)
+		isNews = s.applyAnswer(now - boundedAge(n.AnsweredAge))
 	}
 	if answeredAt, isAnswered := q.answers(n.Subject).get(n.Subject); isAnswered {
 		isNews = s.applyAnswer(answeredAt) || isNews
 	}
 	for _, c := range n.Crashes {
-		isNews = s.addCrash(crashRecord{server: c.Server, request: c.Request, at: now - max(0, c.Age)}, now) || isNews
+		isNews = s.addCrash(crashRecord{server: c.Server, request: c.Request, at: now - boundedAge(c.Age)}, now) || isNews
 	}
 	if s.isAnswered {
 		return isNews, s.contradicts(n, now) && (n.BarredFor > 0 || s.mayTell(now))
