claim: an older version of a row doesn't end the recording of a response

Callers saw, in the worst case: for a service that doesn't report outcomes, a repeat gets outcome_unknown for ever although the first request was answered.

Cause: after a failed write, any version of the row other than the claim's counted as "recorded by an earlier try". A late copy of a read from before the claim has another version too.

The worst case was not played at the product's interface.

Change: only a later version ends the recording. A row that was removed or restored ends it by the condition of the next write.

--- a/spokeclaim/claims.go
+++ b/spokeclaim/claims.go
@@ -243,12 +243,12 @@
 	return true
 }
 
-// rowHasChanged reports whether the row has a new version, as after an earlier
+// rowHasChanged reports whether the row has a later version, as after an earlier
 // attempt to record whose write took effect although it returned an error. If it
 // has, rowHasChanged also forgets the state of the attempt.
 func (c *Claim) rowHasChanged(ctx context.Context) bool {
 	rows, err := c.claims.Table.Read(ctx, c.row)
-	if err != nil || rows[0].Version == c.version {
+	if err != nil || rows[0].Version <= c.version {
 		return false
 	}
 	c.claims.setAttemptState(c.record.AttemptID, "")
--- a/spokeclaim/claims_test.go
+++ b/spokeclaim/claims_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeclaim"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokeplain"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
 	"mulberryspoke.example/mulberryspoke/spoketable"
 )
@@ -46,3 +49,33 @@
 	require.Empty(t, claims.AttemptState("one"))
 	require.Empty(t, claims.AttemptState("two"))
 }
+
+// TestRecordAfterLateCopy loses the request that records a response, and then repeats an
+// earlier response to a read of the row, from before the claim. Recording must go on.
+func TestRecordAfterLateCopy(t *testing.T) {
+	server := httptest.NewServer((&spokestandin.TableService{}).Handler())
+	defer server.Close()
+	proxy := &spokestandin.Proxy{Target: server.Listener.Addr().String()}
+	proxy.SetFaults(spokestandin.ProxyFaults{LateCopies: 1, CopyContaining: "/v1/read"})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go proxy.Serve(t.Context(), listener)
+	table := &spoketable.Table{URL: "http://" + listener.Addr().String(), Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
+	table.Client.Transport.(*http.Transport).MaxConnsPerHost = 1
+	claims := &spokeclaim.Claims{Table: table, Owner: "a", Log: zerolog.Nop()}
+	go claims.Run(t.Context())
+	_, err = table.Read(t.Context(), "row")
+	require.NoError(t, err)
+	acquired, err := claims.Acquire(t.Context(), "row", spokeclaim.Record{AttemptID: "one", Server: "x"})
+	require.NoError(t, err)
+	faults := spokestandin.TableFaults{Faults: spokestandin.Faults{AbortRequests: 1, PathPrefix: "/v1/transact"}}
+	_, err = spokehttp.PostJSON[struct{}](t.Context(), server.Client(), server.URL+"/control", faults)
+	require.NoError(t, err)
+	acquired.Acquired().RecordResponse(t.Context(), spokeplain.Response{Status: http.StatusOK})
+	require.NoError(t, claims.WaitPending(t.Context()))
+	rows, err := table.Read(t.Context(), "row")
+	require.NoError(t, err)
+	record, err := spoketable.DecodeRow[spokeclaim.Record](rows[0])
+	require.NoError(t, err)
+	require.Equal(t, spokeclaim.StateDone, record.State)
+}
