core: an attempt that ends with an unknown error may have run

What callers could see: 'not run' for a request whose front returned an error without a kind. No front does so today; found while the table of docs/decisions/trust.md was written.

Cause: the core took every kind but two for 'nothing was sent', also none.

Change: an error without a kind promises nothing.

Test: TestServe, 'an attempt that ends with an unknown error may have run' (not run true instead of false before).

Conclusion: 'not run' rests on a kind that says so.

--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -64,7 +64,7 @@
 		IsResent: slices.Contains(r.triedAddresses[:len(r.triedAddresses)-1], attempt.Instance().Address),
 	})
 	if err != nil {
-		if kind := spokeerror.KindOf[Kind](err); kind != KindNoAnswer && kind != KindInvalidAnswer {
+		if !spokeerror.KindOf[Kind](err).mayHaveRun() {
 			r.executions.Add(-1)
 		}
 		return err
--- a/spokecore/core_test.go
+++ b/spokecore/core_test.go
@@ -26,6 +26,8 @@
 type serverBehaviour struct {
 	// Error is the kind of error with which the attempt fails.
 	Error spokecore.Kind `yaml:"error"`
+	// Unknown means that the attempt fails with an error that has no kind.
+	Unknown bool `yaml:"unknown_error"`
 	// Hangs means that the server does not answer until the attempt is cancelled.
 	Hangs bool `yaml:"hangs"`
 	// Failed means that the server reports a failure of its own.
@@ -140,6 +142,9 @@
 		<-ctx.Done()
 		return nil, spokeerror.New("send", spokecore.KindNoAnswer, ctx.Err())
 	}
+	if b.Unknown {
+		return nil, io.ErrUnexpectedEOF
+	}
 	if b.Error != "" {
 		return nil, spokeerror.New("send", b.Error, nil)
 	}
--- a/spokecore/refusal.go
+++ b/spokecore/refusal.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// mayHaveRun reports whether an attempt that ended with an error of the kind may have
+// run. An error without a kind promises nothing.
+func (k Kind) mayHaveRun() bool {
+	return k == KindNoAnswer || k == KindInvalidAnswer || k == ""
+}
+
 // Refusal is the final error of a request that no backend server has answered
 // completely.
 type Refusal struct {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -236,7 +236,7 @@
 	// an error of kind KindNotSent, KindNotRun, KindNoAnswer or KindInvalidAnswer
 	// the core tries another server if the request allows it. An error of any
 	// other kind means that nothing was sent, and ends the request with that
-	// kind.
+	// kind. After one without a kind the request may have run, and is not tried again.
 	SendAttemptFunc func(ctx context.Context, attempt Attempt) (*Response, error)
 	// WriteHeadFunc writes the head of the answer to the caller, before any of
 	// its body. Length is the length of the body in bytes, or -1 if unknown.
