--- a/spokebackend/registry_test.go
+++ b/spokebackend/registry_test.go
@@ -1,6 +1,9 @@
 package spokebackend_test
 
 import (
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -67,6 +70,80 @@
 	require.Equal(t, c.Slow, slow, "slowness %.2f", attempt.Slowness())
 }
 
+type arrivalsCase struct {
+	Name string `yaml:"name"`
+	// Answers are the gaps before the tokens of each answer, by its server's name and a
+	// number. All begin at the same time, with a first token. "20*4" means 20 gaps of 4 ms.
+	Answers map[string]string `yaml:"answers"`
+	// Slow has the servers that become slow, and by when they must be listed as slow.
+	Slow map[string]spokeclock.Millis `yaml:"slow_by_millis"`
+}
+
+// TestSlownessOfConcurrentAnswers guards against healthy servers that count as slow after
+// this process, or a server's, has waited for the processor: one delay stretches a gap of
+// each answer, and the tokens buffered meanwhile make the other servers look fast.
+func TestSlownessOfConcurrentAnswers(t *testing.T) {
+	for _, c := range spokecase.Read[[]arrivalsCase](t, "testdata/arrivals.yaml") {
+		t.Run(c.Name, func(t *testing.T) { c.run(t) })
+	}
+}
+
+func (c arrivalsCase) run(t *testing.T) {
+	var clock spokeclock.Manual
+	clock.Advance(1)
+	registry := &spokebackend.Registry{DataCentre: "a", Clock: clock.Clock()}
+	registry.UpdateInstances([]spokecloud.Instance{newServer("a"), newServer("b")})
+	attempts, end := make(map[string]*spokebackend.Attempt), spokeclock.Millis(0)
+	arrivals := make(map[string][]spokeclock.Millis)
+	for answer, gaps := range c.Answers {
+		attempts[answer] = begin(t, registry, answer[:1])
+		arrivals[answer] = parseArrivals(t, gaps)
+		end = max(end, slices.Max(arrivals[answer]))
+	}
+	slow := make(map[string]spokeclock.Millis)
+	for now := spokeclock.Millis(0); now <= end; now++ {
+		for answer, times := range arrivals {
+			for i, at := range times {
+				if at == now {
+					attempts[answer].RecordToken(i == 0)
+				}
+			}
+		}
+		for _, server := range registry.Servers() {
+			name, candidate := server.Instance().Name, server.Candidate()
+			if _, found := slow[name]; !found && candidate.TrafficShare < 1 {
+				slow[name] = now
+				t.Logf("%s is slow at %d ms, slowness %.2f", name, now, candidate.Slowness)
+			}
+		}
+		clock.Advance(1)
+	}
+	require.Len(t, slow, len(c.Slow))
+	for name, by := range c.Slow {
+		require.Contains(t, slow, name)
+		require.LessOrEqual(t, slow[name], by, name)
+	}
+}
+
+// parseArrivals returns the times at which tokens arrive, the first one at 0.
+func parseArrivals(t *testing.T, gaps string) []spokeclock.Millis {
+	times := []spokeclock.Millis{0}
+	for _, field := range strings.Fields(gaps) {
+		count, gap, found := strings.Cut(field, "*")
+		if !found {
+			count, gap = "1", field
+		}
+		repeats, err := strconv.Atoi(count)
+		require.NoError(t, err)
+		length, err := strconv.Atoi(gap)
+		require.NoError(t, err)
+		for range repeats {
+			times = append(times, times[len(times)-1]+spokeclock.Millis(length))
+		}
+	}
+	return times
+}
+
 func newServer(name string) spokecloud.Instance {
 	return spokecloud.Instance{Name: name, Role: spokecloud.RoleBackend, Service: "s", DataCentre: "a", State: spokecloud.StateRunning, Slots: 4}
 }
