standin: an engine keeps its pace while its process waits for a core

What was seen: in one of the fleet scripts beside 18 busy processes the engine's own process waited for three of its 4 ms steps in a row, 140 ms, while tokens of the other engine arrived in time. The entry instance listed it as slow, rightly: nothing tells such an engine from one that takes ten times as long, which TestSlowness wants found after three gaps. Change: steps follow a schedule, as those of an accelerator do. Steps that are late by 250 ms at most follow at once; an engine that is suspended for longer loses its time, as before. The factor by which a fault slows an engine still holds for each step.

--- a/spokestandin/engine.go
+++ b/spokestandin/engine.go
@@ -69,6 +69,8 @@
 	// PrefixCacheEntries is the number of prompt prefixes that the prefix cache
 	// holds. Zero means 64.
 	PrefixCacheEntries int
+	// SleepFunc waits between steps. Nil means time.Sleep.
+	SleepFunc func(time.Duration)
 
 	injector             faultInjector
 	mutex                sync.Mutex
@@ -138,25 +140,40 @@
 	e.faults = faults
 }
 
-// Run executes the engine's steps until ctx ends.
+// maxLateSteps bounds the time that Run catches up, so that an engine that was
+// suspended does not generate at once what it would have generated meanwhile.
+const maxLateSteps = 250 * time.Millisecond
+
+// Run executes the engine's steps until ctx ends. Steps that are late, as the process
+// waits for the processor, follow each other at once: the accelerator that the engine
+// stands in for keeps its pace.
 func (e *Engine) Run(ctx context.Context) {
-	for {
-		pause := e.step()
-		if pause > 0 {
-			time.Sleep(pause)
-			if ctx.Err() != nil {
-				return
-			}
+	sleep := e.SleepFunc
+	if sleep == nil {
+		sleep = time.Sleep
+	}
+	nextStepAt := time.Now()
+	for ctx.Err() == nil {
+		if pause := e.step(); pause > 0 {
+			nextStepAt = later(nextStepAt, time.Now().Add(-maxLateSteps)).Add(pause)
+			sleep(time.Until(nextStepAt))
 			continue
 		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-e.wake:
+			nextStepAt = time.Now()
 		}
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // step executes one step for all running answers. It returns how long the step
 // takes, or zero if no answer runs.
 func (e *Engine) step() time.Duration {
