--- a/spokebackend/attempt.go
+++ b/spokebackend/attempt.go
@@ -12,9 +12,6 @@
 	instance    spokecloud.Instance
 	longAnswer  bool
 	lastTokenAt spokeclock.Millis
-	// gapExcess is the time in milliseconds by which the last long gap exceeded the usual
-	// one, less what the gaps after it have made up for.
-	gapExcess float64
 	// prefillTokens is the number of prompt tokens that the server has not
 	// processed.
 	prefillTokens int
@@ -86,34 +83,11 @@
 	if first {
 		a.finishPrefill()
 	} else {
-		a.recordGap(now, r.medianGap(a.instance.Service))
+		a.server.recordGap(a, r.medianGap(a.instance.Service), now)
 	}
 	a.lastTokenAt = now
 }
 
-// recordGap records the gap before a token. The gaps of concurrent answers are counted
-// only if they don't overlap, as one delay stretches all of them.
-func (a *Attempt) recordGap(now spokeclock.Millis, median float64) {
-	gap := a.spreadGap(float64(now-a.lastTokenAt), a.server.usualGap(median))
-	if a.lastTokenAt >= a.server.gapsCountedUntil {
-		a.server.gapsCountedUntil = now
-		a.server.recordGap(gap, median, now)
-	}
-}
-
-// spreadGap lengthens a short gap after a long one to the usual gap, by what the long
-// one exceeded it: while this process waits for the processor, tokens are buffered and
-// then arrive at once, which does not mean that their server is fast.
-func (a *Attempt) spreadGap(gap, usual float64) float64 {
-	if gap >= usual {
-		a.gapExcess = gap - usual
-		return gap
-	}
-	spread := min(usual, gap+a.gapExcess)
-	a.gapExcess -= spread - gap
-	return spread
-}
-
 // RecordStall records the time since the last token as a gap although no token
 // has arrived.
 func (a *Attempt) RecordStall() {
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -1,8 +1,6 @@
 package spokebackend
 
 import (
-	"cmp"
-
 	"github.com/cespare/xxhash/v2"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
@@ -53,11 +51,6 @@
 }
 
 const (
-	// gapWeight is the weight of a new token gap in the moving average.
-	gapWeight = 0.3
-	// maxStallRatio is the ratio to the usual gap up to which a stall counts. A longer
-	// one may be due to this process waiting for the processor.
-	maxStallRatio = 3
 	// slownessHalfLife is the time without a token in which slowness halves.
 	slownessHalfLife  = 2 * spokeclock.Second
 	initialSuspension = 500 * spokeclock.Millis(1)
@@ -89,16 +82,9 @@
 	prefillBacklog int
 	load           spokeengine.Load
 	loadMeasuredAt spokeclock.Millis
-	// averageGap is the moving average of the time between tokens, in
-	// milliseconds. It is valid if gapUpdatedAt is not zero.
-	averageGap   float64
-	gapUpdatedAt spokeclock.Millis
-	// lastGap is the last gap in milliseconds, and gapsCountedUntil is when it ended
-	// unless it was a stall.
-	lastGap          float64
-	gapsCountedUntil spokeclock.Millis
-	failures         int
-	suspendedUntil   spokeclock.Millis
+	tokenGaps
+	failures       int
+	suspendedUntil spokeclock.Millis
 	// pausedUntil is until when the server has asked for no requests.
 	pausedUntil spokeclock.Millis
 	// trafficShare is the share of its normal traffic that the server gets, up
@@ -172,47 +158,6 @@
 	s.suspendedUntil = 0
 }
 
-// usualGap returns the larger of the server's average gap and the median of its
-// service, or zero if neither is known.
-func (s *server) usualGap(median float64) float64 {
-	return max(s.averageGap, median)
-}
-
-// recordGap updates the moving average with the time between two tokens. Of two
-// consecutive gaps the shorter one counts, so that a single wait for the processor,
-// here or at the server, does not make it look slow: a server that has slowed down has
-// several long gaps in a row.
-func (s *server) recordGap(gap, median float64, now spokeclock.Millis) {
-	last := cmp.Or(s.lastGap, s.usualGap(median), gap)
-	s.lastGap = gap
-	s.updateAverageGap(min(gap, last), median, now)
-}
-
-// recordStall updates the moving average with the time since the last token although
-// no token has arrived.
-func (s *server) recordStall(silence spokeclock.Millis, median float64, now spokeclock.Millis) {
-	gap := float64(silence)
-	s.lastGap = gap
-	if usual := s.usualGap(median); usual > 0 {
-		gap = min(gap, maxStallRatio*usual)
-	}
-	s.updateAverageGap(gap, median, now)
-}
-
-// updateAverageGap starts from the median of the server's service if the server had no
-// gap before.
-func (s *server) updateAverageGap(gap, median float64, now spokeclock.Millis) {
-	average := s.averageGap
-	if s.gapUpdatedAt == 0 {
-		average = median
-	}
-	s.gapUpdatedAt = now
-	if average == 0 {
-		average = gap
-	}
-	s.averageGap = (1-gapWeight)*average + gapWeight*gap
-}
-
 // slowness returns the ratio of the server's average time between tokens to the
 // median of its service, at least 1. The ratio halves with each
 // slownessHalfLife since the last token, so that a slow server gets requests
