serve: a second move finds a KV cache whose import was interrupted

Cause: the second move looked for the cache at the server of the attempt before, under that attempt's ID. That server had neither imported nor computed it; the cache was still at the server before, which has the rest of its notice. Change: an attempt that is cancelled before the end of its import remembers where the cache still is. After an import that failed otherwise, the next server computes the tokens, as before. The log line says from where, for which attempt and whether the import was interrupted. TestMovesOfOneAnswer, on the code before: "a move before the end of the import leaves the cache where it is" and "two moves before the end of the import" asked the wrong server for an attempt that it didn't have; the other three cases passed.

--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -43,21 +43,38 @@
 // sentAttempt describes the last attempt that was sent, to locate its KV cache.
 type sentAttempt struct {
 	id string
+	// server is the address of its server.
+	server string
 	// importedFrom is the attempt whose KV cache was imported, or empty.
 	importedFrom string
+	// notImported is the cache whose import was interrupted, or empty.
+	notImported cacheLocation
 	// delivered is the number of tokens delivered before this attempt.
 	delivered int
 }
 
-// cacheAttemptID returns the attempt ID under which the server of this attempt
-// holds the KV cache, given the number of tokens delivered by now. An attempt that
-// delivered no token has computed nothing, but its server may hold the cache that
-// was imported for it.
-func (a sentAttempt) cacheAttemptID(delivered int) string {
-	if delivered == a.delivered && a.importedFrom != "" {
-		return a.importedFrom
+// cacheLocation is the address of the server that holds a KV cache, and the attempt
+// under whose ID it does.
+type cacheLocation struct {
+	server    string
+	attemptID string
+}
+
+// cache returns where the KV cache of the answer is, given the number of tokens
+// delivered by now. An attempt that delivered no token has computed nothing, but its
+// server may hold the cache that was imported for it. If it was moved before the end of
+// the import, the cache is still where it was.
+func (a sentAttempt) cache(delivered int) cacheLocation {
+	switch {
+	case delivered > a.delivered:
+		return cacheLocation{server: a.server, attemptID: a.id}
+	case a.importedFrom != "":
+		return cacheLocation{server: a.server, attemptID: a.importedFrom}
+	case a.notImported != cacheLocation{}:
+		return a.notImported
+	default:
+		return cacheLocation{server: a.server, attemptID: a.id}
 	}
-	return a.id
 }
 
 // start starts the answer in the background. It calls done when the answer or ctx
@@ -127,8 +144,10 @@
 	request := g.engineRequest
 	request.AttemptID = newID()
 	request.DeliveredTokens = slices.Clone(g.delivered)
-	request.CacheAttemptID = g.importCache(ctx, attempt)
-	g.lastAttempt = sentAttempt{id: request.AttemptID, importedFrom: request.CacheAttemptID, delivered: len(g.delivered)}
+	sent := sentAttempt{id: request.AttemptID, server: attempt.Server.Address, delivered: len(g.delivered)}
+	sent.importedFrom, sent.notImported = g.importCache(ctx, attempt)
+	request.CacheAttemptID = sent.importedFrom
+	g.lastAttempt = sent
 	engine := spokeengine.Client{URL: "http://" + attempt.Server.Address, HTTPClient: g.server.Client}
 	stream, err := engine.Generate(ctx, request)
 	if err != nil {
@@ -156,22 +175,29 @@
 
 // importCache makes the new server import the KV cache of the interrupted attempt.
 // It returns the ID of the attempt that the cache belongs to, or "" if no cache was
-// imported and the server has to recompute it.
-func (g *generation) importCache(ctx context.Context, attempt spokecore.Attempt) string {
-	from := attempt.MovedFrom
-	if from.Name == "" || from.Address == attempt.Server.Address || g.server.Switches.DisableCacheMove {
-		return ""
+// imported and the server has to recompute it. If the attempt was cancelled before the
+// end of the import, it returns where the cache still is.
+func (g *generation) importCache(ctx context.Context, attempt spokecore.Attempt) (string, cacheLocation) {
+	if attempt.MovedFrom.Name == "" || g.server.Switches.DisableCacheMove {
+		return "", cacheLocation{}
+	}
+	cache := g.lastAttempt.cache(len(g.delivered))
+	if cache.server == attempt.Server.Address {
+		return "", cacheLocation{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, cacheImportTimeout.Duration())
+	importCtx, cancel := context.WithTimeout(ctx, cacheImportTimeout.Duration())
 	defer cancel()
-	source := g.lastAttempt.cacheAttemptID(len(g.delivered))
 	engine := spokeengine.Client{URL: "http://" + attempt.Server.Address, HTTPClient: g.server.Client}
-	if err := engine.ImportCache(ctx, spokeengine.CacheMoveRequest{AttemptID: source, Source: "http://" + from.Address}); err != nil {
-		g.server.Log.Info().Err(err).Str("id", g.id).Msg("KV cache could not be imported.")
-		return ""
+	if err := engine.ImportCache(importCtx, spokeengine.CacheMoveRequest{AttemptID: cache.attemptID, Source: "http://" + cache.server}); err != nil {
+		interrupted := ctx.Err() != nil
+		g.server.Log.Info().Err(err).Str("id", g.id).Str("server", attempt.Server.Name).Str("from", cache.server).Str("attempt", cache.attemptID).Bool("interrupted", interrupted).Msg("KV cache could not be imported.")
+		if interrupted {
+			return "", cache
+		}
+		return "", cacheLocation{}
 	}
 	g.server.Counters.cacheMoves.Inc()
-	return source
+	return cache.attemptID, cacheLocation{}
 }
 
 // refusalFor returns the refusal of a request that the core could not complete.
