--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -51,12 +51,6 @@
 }
 
 const (
-	// gapWeight is the weight of a new token gap in the moving average.
-	gapWeight = 0.3
-	// maxGapRatio is the ratio to the usual gap up to which a single gap counts. A
-	// longer one may be due to this process waiting for the processor; a server that
-	// has slowed down has several in a row.
-	maxGapRatio = 3
 	// slownessHalfLife is the time without a token in which slowness halves.
 	slownessHalfLife  = 2 * spokeclock.Second
 	initialSuspension = 500 * spokeclock.Millis(1)
@@ -88,10 +82,7 @@
 	prefillBacklog int
 	load           spokeengine.Load
 	loadMeasuredAt spokeclock.Millis
-	// averageGap is the moving average of the time between tokens, in
-	// milliseconds. It is valid if gapUpdatedAt is not zero.
-	averageGap     float64
-	gapUpdatedAt   spokeclock.Millis
+	tokenGaps
 	failures       int
 	suspendedUntil spokeclock.Millis
 	// pausedUntil is until when the server has asked for no requests.
@@ -167,24 +158,6 @@
 	s.suspendedUntil = 0
 }
 
-// recordGap updates the moving average with the time between two tokens. Before
-// the first gap, the average is the median of the server's service, which is
-// zero if it is not known. A single gap counts up to maxGapRatio times the
-// average or the median.
-func (s *server) recordGap(gap spokeclock.Millis, median float64, now spokeclock.Millis) {
-	average := s.averageGap
-	if s.gapUpdatedAt == 0 {
-		average = median
-	}
-	s.gapUpdatedAt = now
-	usual := max(average, median)
-	if usual == 0 {
-		s.averageGap = float64(gap)
-		return
-	}
-	s.averageGap = (1-gapWeight)*average + gapWeight*min(float64(gap), maxGapRatio*usual)
-}
-
 // slowness returns the ratio of the server's average time between tokens to the
 // median of its service, at least 1. The ratio halves with each
 // slownessHalfLife since the last token, so that a slow server gets requests
