spokecore: the body of an error isn't awaited in place of a stream's rest

What callers saw: a stream broke off, the next backend server answered with the head of an error and then nothing more, and the stream stood still until the watchdog or the deadline ended it, although a third server had its rest.

Cause: that an answer is no event stream was checked after its body had been read.

Evidence: TestServe/an_error_without_end_in_place_of_the_rest_of_a_stream_isn't_waited_for on the code before: two attempts instead of three within 2 s.

Change: the head decides.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -32,13 +32,10 @@
 	if !response.Replayed {
 		attempt.RecordToken(true)
 	}
-	if response.ServerFailed && !r.headWritten && r.canRunAgain() && r.service.retryBudget.AllowRetry() {
+	if response.ServerFailed && r.canRunAgain() && r.service.retryBudget.AllowRetry() {
 		r.core.Counters.replaced.Inc()
 		return spokeerror.Newf("read answer", KindServerFailureRetried, "the backend server reported a failure")
 	}
-	if r.headWritten {
-		return spokeerror.Newf("read answer", KindInvalidAnswer, "the resumed answer is not an event stream")
-	}
 	length := int64(len(buffered))
 	if length > maxBufferedAnswer {
 		length = -1
--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -70,6 +70,9 @@
 	if response.Body != nil {
 		defer func() { _ = response.Body.Close() }()
 	}
+	if r.headWritten && (response.EventsFunc == nil || response.ServerFailed) {
+		return spokeerror.Newf("read answer", KindInvalidAnswer, "the resumed answer is not an event stream")
+	}
 	if response.Replayed {
 		r.executions.Add(-1)
 		attempt.Abandon()
