--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -24,7 +24,9 @@
 	attempt, accepted := r.core.Registry.BeginAttempt(server, r.request.isLong(), func(removal spokebackend.Removal) {
 		if r.mustMoveBefore(removal) {
 			cancel(errServerDraining)
+			return
 		}
+		r.moveIfLate(ctx, removal, cancel)
 	})
 	if !accepted {
 		return spokeerror.Newf("send attempt", KindNotSent, "%s accepts no new requests", server)
--- a/spokecore/move.go
+++ b/spokecore/move.go
@@ -1,6 +1,9 @@
 package spokecore
 
 import (
+	"context"
+	"time"
+
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 )
@@ -30,10 +33,7 @@
 // is unknown, or the answer is not expected to finish in time. It stays if an
 // operator or the fleet plan drains the server, which lets answers finish.
 func (r *requestRun) mustMoveBefore(removal spokebackend.Removal) bool {
-	if !r.core.MoveOnRemoval || !r.canRunAgain() {
-		return false
-	}
-	if removal.Source == spokebackend.SourceOperatorDrain || removal.Source == spokebackend.SourcePlan {
+	if !r.allowMoveBefore(removal) {
 		return false
 	}
 	if removal.Source == spokebackend.SourceOperatorStop || removal.Remaining == 0 {
@@ -43,6 +43,26 @@
 	return remainingTokens*r.tokenGap()+finishMargin > removal.Remaining
 }
 
+// allowMoveBefore reports whether the answer may move before its server is removed.
+func (r *requestRun) allowMoveBefore(removal spokebackend.Removal) bool {
+	isDrained := removal.Source == spokebackend.SourceOperatorDrain || removal.Source == spokebackend.SourcePlan
+	return r.core.MoveOnRemoval && r.canRunAgain() && !isDrained
+}
+
+// moveIfLate moves an answer that stays at a server until its removal, but has not
+// finished finishMargin before it: the server may have become slower since.
+func (r *requestRun) moveIfLate(ctx context.Context, removal spokebackend.Removal, cancel context.CancelCauseFunc) {
+	if !r.allowMoveBefore(removal) {
+		return
+	}
+	timer := time.AfterFunc((removal.Remaining - finishMargin).Duration(), func() {
+		if r.canRunAgain() {
+			cancel(errServerDraining)
+		}
+	})
+	context.AfterFunc(ctx, func() { timer.Stop() })
+}
+
 // tokenGap returns the observed time per token, rounded up. Before one is known,
 // it returns the gap target of the route or, without one, defaultTokenGap.
 func (r *requestRun) tokenGap() spokeclock.Millis {
