--- a/spokecore/move_test.go
+++ b/spokecore/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 		deliver := func(tokens int) error {
 			for range tokens {
 				delivered++
-				if err := forward(spokecore.Event{ID: "e", Raw: []byte("t")}); err != nil {
+				if err := forward(spokecore.Event{ID: strconv.Itoa(delivered), Raw: []byte("t")}); err != nil {
 					return err
 				}
 				time.Sleep(time.Millisecond)
