--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -140,7 +140,7 @@
 			if s == nil {
 				continue
 			}
-			wasHeld := s.isBarredAt(now) || s.isOnTrialAt(now)
+			wasHeld := s.isBarredAt(now) || s.isOnProbationAt(now)
 			if s.applyAnswer(now) && (wasHeld || s.mayTell(now)) {
 				q.changes.Record(subject, true)
 			}
@@ -178,7 +178,7 @@
 
 func (q *Quarantine) findTried(subjects []Subject, now spokeclock.Millis) Bar {
 	for _, subject := range subjects {
-		if s := q.suspects[subject]; s != nil && s.isOnTrialAt(now) && now < s.triedUntil {
+		if s := q.suspects[subject]; s != nil && s.isOnProbationAt(now) && now < s.triedUntil {
 			return Bar{Subject: subject, Remaining: s.triedUntil - now}
 		}
 	}
@@ -199,7 +199,7 @@
 			return
 		}
 		for _, subject := range subjects {
-			if s := q.suspects[subject]; s != nil && s.isOnTrialAt(now) {
+			if s := q.suspects[subject]; s != nil && s.isOnProbationAt(now) {
 				s.triedUntil = now + trialTimeout
 				isTrial = true
 				q.changes.Record(subject, true)
@@ -324,7 +324,7 @@
 	oldestAt := now
 	removed := 0
 	for subject, s := range q.suspects {
-		if s.isBarredAt(now) || s.isOnTrialAt(now) {
+		if s.isBarredAt(now) || s.isOnProbationAt(now) {
 			continue
 		}
 		last := s.lastCrashAt()
@@ -423,9 +423,9 @@
 
 func (s *suspect) isBarredAt(now spokeclock.Millis) bool { return s.isBarred && now < s.releaseAt() }
 
-// isOnTrialAt reports whether the bar has ended by its time, and no answer has shown yet
+// isOnProbationAt reports whether the bar has ended by its time, and no answer has shown yet
 // that the subject is harmless.
-func (s *suspect) isOnTrialAt(now spokeclock.Millis) bool {
+func (s *suspect) isOnProbationAt(now spokeclock.Millis) bool {
 	return s.isBarred && now >= s.releaseAt() && now < s.releaseAt()+probation
 }
 
