config: a peer's delta starts at a revision that the peer has had in force

What callers saw: routes that a newer configuration had removed were served on, at instances that had fetched that configuration from a peer (CONFIG). A withdrawn key would have stayed in force in the same way.

Cause: an instance that starts, or skips revisions, reads the newest configuration as a whole. It doesn't know which items earlier ones had. Asked for what has changed since one of those, it named the items that it has, and the peer kept the others at the new revision.

Change: a delta starts only at a revision that was in force at the instance that gives it; otherwise the whole configuration is sent, and what it doesn't have is removed.

Conclusion: what is not listed can be told from what is not known.

--- a/spokeconfig/store.go
+++ b/spokeconfig/store.go
@@ -15,9 +15,16 @@
 	mutex    sync.Mutex
 	items    map[string]Item
 	revision Revision
-	current  atomic.Pointer[Snapshot]
+	// visited are the last revisions that were in force here. Which items were removed
+	// since another one may not be known.
+	visited []Revision
+	current atomic.Pointer[Snapshot]
 }
 
+// maxVisited bounds the revisions from which a delta is made. Others get the whole
+// configuration.
+const maxVisited = 256
+
 // Current returns the configuration in force, or nil if there is none yet.
 func (s *Store) Current() *Snapshot {
 	return s.current.Load()
@@ -52,17 +59,27 @@
 	for key, item := range s.items {
 		items[key] = item
 	}
+	isListed := make(map[string]bool, len(delta.Items))
 	for _, item := range delta.Items {
+		isListed[item.Key] = true
 		if item.Revision > items[item.Key].Revision {
 			items[item.Key] = item
 		}
 	}
+	if delta.From == 0 {
+		for key, item := range items {
+			if !isListed[key] && len(item.Value) > 0 {
+				items[key] = Item{Key: key, Revision: delta.To}
+			}
+		}
+	}
 	declaration, marks, err := declarationFromItems(sortedByKey(items))
 	if err != nil {
 		return false, err
 	}
 	s.items = items
 	s.revision = delta.To
+	s.visited = append(s.visited[max(0, len(s.visited)-maxVisited+1):], delta.To)
 	s.current.Store(newSnapshot(delta.To, declaration, marks))
 	return true, nil
 }
@@ -82,10 +99,14 @@
 	return s.merge(delta)
 }
 
-// DeltaSince returns the delta from a revision to the store's.
+// DeltaSince returns the delta from a revision to the store's. It is the whole
+// configuration if the revision was not in force here lately.
 func (s *Store) DeltaSince(from Revision) Delta {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !slices.Contains(s.visited, from) {
+		from = 0
+	}
 	delta := Delta{From: from, To: s.revision}
 	for _, item := range sortedByKey(s.items) {
 		if item.Revision > from {
