--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -152,7 +152,10 @@
 func (q *Quarantine) Find(subjects []Subject) Bar {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	now := q.Clock.Now()
+	return q.find(subjects, q.Clock.Now())
+}
+
+func (q *Quarantine) find(subjects []Subject, now spokeclock.Millis) Bar {
 	if bar := q.findBarred(subjects, now); bar.Subject != "" {
 		return bar
 	}
@@ -192,10 +195,7 @@
 func (q *Quarantine) Admit(subjects []Subject) (bar Bar, isTrial bool) {
 	q.update(func() {
 		now := q.Clock.Now()
-		if bar = q.findBarred(subjects, now); bar.Subject != "" {
-			return
-		}
-		if bar = q.findTried(subjects, now); bar.Subject != "" {
+		if bar = q.find(subjects, now); bar.Subject != "" {
 			return
 		}
 		for _, subject := range subjects {
