feed, platform: bounds of reads in one place, log lines of kept removals and silent polls

Logs didn't tell whether a server was used on because a removal was kept for now, or because a poll got no answer. Both are logged now, with the time. The waits of polls are derived in spokefeed, so that a test can use those of the platform. No change of behaviour otherwise.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -108,8 +108,11 @@
 	// is read through a relay. Nil means none.
 	PauseFunc func(isRelayed bool) spokeclock.Millis
 	// MaxWait is the longest wait of one poll. It bounds the time without
-	// changes when a connection dies silently. Zero means three seconds.
+	// changes when a connection dies silently. Zero means that of Bounds.
 	MaxWait spokeclock.Millis
+	// Bounds are the times in which changes must be known. Zeros leave the waits of
+	// polls at three seconds.
+	Bounds Bounds
 	// RowsExpire is whether rows can expire during an outage of the table.
 	RowsExpire bool
 	// ReturnDelay is how long a removed row that a restore of the table has brought
@@ -187,6 +190,7 @@
 	if !f.loaded {
 		return f.load(ctx)
 	}
+	startedAt := f.Clock.Now()
 	changes, position, err := f.ChangesFunc(ctx, f.position, f.pollWait())
 	switch {
 	case err == nil:
@@ -206,6 +210,7 @@
 	case !f.probing:
 		// A single poll without an answer may be due to a dead connection.
 		f.probing = true
+		f.Log.Info().Str("table", f.TableName).Int64("waited_millis", int64(f.Clock.Now()-startedAt)).Err(err).Msg("Poll got no answer, trying once more.")
 		return true
 	default:
 		f.recordFailure(ctx, err)
@@ -220,7 +225,10 @@
 		return probeWait
 	}
 	wait := f.MaxWait
-	if wait == 0 {
+	switch {
+	case wait == 0 && f.Bounds.News > 0:
+		wait = f.Bounds.ChangesWait()
+	case wait == 0:
 		wait = defaultMaxWait
 	}
 	now := f.Clock.Now()
@@ -332,6 +340,7 @@
 func (f *Follower) applyChanges(changes []Change, removalDue spokeclock.Millis) {
 	now := f.Clock.Now()
 	changed := false
+	kept := 0
 	for _, change := range changes {
 		key := change.Row.Key
 		delete(f.pendingRemovals, key)
@@ -345,11 +354,15 @@
 		case !present:
 		case removalDue > now:
 			f.pendingRemovals[key] = removalDue
+			kept++
 		default:
 			f.remove(key, now)
 			changed = true
 		}
 	}
+	if kept > 0 {
+		f.Log.Info().Str("table", f.TableName).Int("rows", kept).Int64("due_in_millis", int64(removalDue-now)).Str("relay", f.position.Relay).Msg("Removed rows are kept for now.")
+	}
 	changed = f.applyPending(now) || changed
 	if f.Relay != nil && (changed || len(changes) > 0) {
 		f.Relay.set(f.relayedRows(), f.position)
