feed: the time for which removed rows are kept counts from the last read that had them

Callers saw nothing wrong; requests still reached servers that had left more than the allowed 3 s before. Cause: each delay on the way to an instance stays below that time, but nothing bounded their sum: the age of a reader's rows, the wait for a relay that has failed, the pause between two polls, and the time for which rows are kept if many disappear at once. A pause could also pass the time at which a removal was due, and each read of the whole table began the time anew.

Relays now tell the age of their rows, the time for which rows are kept ends in any case before news must be known, an earlier end holds, and pauses end with it.

--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -40,6 +40,8 @@
 	massRemovalShare = 0.34
 	// massRemovalMin is the number of removals below which none count as a mass.
 	massRemovalMin = 3
+	// removalMargin is the time for the poll that ends when removals are due.
+	removalMargin = 600 * spokeclock.Millis(1)
 	// defaultMaxWait is the longest wait of one poll if Follower.MaxWait is zero.
 	defaultMaxWait = 3 * spokeclock.Second
 	// probeWait is the wait of a poll that only checks whether the table
@@ -132,6 +134,8 @@
 	// probing is whether the last poll got no answer.
 	probing     bool
 	outageSince spokeclock.Millis
+	// readAt is the latest time at which the copy was certainly that of the table.
+	readAt spokeclock.Millis
 	// recovered is whether an outage has ended since the last changes.
 	recovered bool
 	// pendingRemovals is when removed rows that are kept for now are removed
@@ -181,7 +185,7 @@
 	if f.PauseFunc == nil {
 		return 0
 	}
-	return f.PauseFunc(f.position.Relay != "")
+	return f.untilPending(f.PauseFunc(f.position.Relay != ""))
 }
 
 // poll polls once and reports whether the table is available. It also returns
@@ -196,7 +200,7 @@
 	case err == nil:
 		f.recordAnswer()
 		f.position = position
-		f.applyChanges(changes, f.removalDue(changes))
+		f.applyChanges(changes, false)
 		f.confirmRelay()
 		return true
 	case spokeerror.KindOf[Kind](err) == KindSourceChanged:
@@ -231,6 +235,12 @@
 	case wait == 0:
 		wait = defaultMaxWait
 	}
+	return f.untilPending(wait)
+}
+
+// untilPending shortens a wait so that it ends when the next pending removal or return
+// is due.
+func (f *Follower) untilPending(wait spokeclock.Millis) spokeclock.Millis {
 	now := f.Clock.Now()
 	for _, due := range f.pendingRemovals {
 		wait = min(wait, max(1, due-now))
@@ -270,12 +280,10 @@
 			delete(f.pendingReturns, key)
 		}
 	}
-	due := f.removalDue(changes)
 	if isRestored {
 		f.Log.Warn().Str("table", f.TableName).Int64("era", int64(position.Era)).Int("delayed", len(f.pendingReturns)).Msg("Table was restored from an older copy.")
-		due = f.Clock.Now() + outageGrace
 	}
-	f.applyChanges(changes, due)
+	f.applyChanges(changes, isRestored)
 	f.confirmRelay()
 	return true
 }
@@ -336,13 +344,25 @@
 }
 
 // applyChanges applies changes to the copy, its removals when they are due, and
-// pending removals and returns that are due now.
-func (f *Follower) applyChanges(changes []Change, removalDue spokeclock.Millis) {
+// pending removals and returns that are due now. IsRestored is whether the changes are
+// the differences from a restored table.
+func (f *Follower) applyChanges(changes []Change, isRestored bool) {
 	now := f.Clock.Now()
+	// An earlier time holds, unless the owners were kept from writing since.
+	isNewGrace := f.recovered || isRestored
+	removalDue := f.removalDue(changes)
+	if isRestored {
+		removalDue = now + outageGrace
+	}
+	f.readAt = f.position.ReadAt
 	changed := false
 	kept := 0
 	for _, change := range changes {
 		key := change.Row.Key
+		due := removalDue
+		if earlier, isPending := f.pendingRemovals[key]; isPending && !isNewGrace {
+			due = min(due, earlier)
+		}
 		delete(f.pendingRemovals, key)
 		delete(f.pendingReturns, key)
 		_, present := f.rows[key]
@@ -352,8 +372,8 @@
 			delete(f.removedAt, key)
 			changed = true
 		case !present:
-		case removalDue > now:
-			f.pendingRemovals[key] = removalDue
+		case due > now:
+			f.pendingRemovals[key] = due
 			kept++
 		default:
 			f.remove(key, now)
@@ -418,7 +438,8 @@
 
 // removalDue returns when the removals among the changes are applied. Rows
 // removed during an outage of the table may only have expired. Rows removed
-// afterwards have not, unless many are removed at once.
+// afterwards have not, unless many are removed at once. Those may have been removed
+// at any time since the copy was last that of the table.
 func (f *Follower) removalDue(changes []Change) spokeclock.Millis {
 	now := f.Clock.Now()
 	recovered := f.recovered
@@ -436,7 +457,11 @@
 		}
 	}
 	if removed >= massRemovalMin && float64(removed) > massRemovalShare*float64(len(f.rows)) {
-		return now + massRemovalGrace
+		due := now + massRemovalGrace
+		if f.Bounds.News > 0 {
+			due = min(due, f.readAt+f.Bounds.News-removalMargin)
+		}
+		return due
 	}
 	return now
 }
--- a/spokefeed/relay.go
+++ b/spokefeed/relay.go
@@ -40,6 +40,8 @@
 	Sequence   int64 `json:"sequence"`
 	// Position is the place in the history of the table that the relay has read to.
 	Position Position `json:"position"`
+	// Age is how long before the answer the rows were certainly those of the table.
+	Age spokeclock.Millis `json:"age_millis,omitempty"`
 	// IsWhole means that Rows are all rows, because the relay doesn't have the
 	// changes since the requested place.
 	IsWhole bool `json:"whole,omitempty"`
@@ -152,13 +154,14 @@
 	if maxAge == 0 {
 		maxAge = DefaultMaxConfirmAge
 	}
-	if age := r.Clock.Now() - r.position.ReadAt; !r.isConfirmed || age > maxAge {
+	age := r.Clock.Now() - r.position.ReadAt
+	if !r.isConfirmed || age > maxAge {
 		return RelayUpdate{}, nil, spokeerror.Newf("relay table", KindUnavailable, "the table has not answered this process for %d ms", age)
 	}
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
-	update := RelayUpdate{Generation: r.Generation, Sequence: r.sequence, Position: r.position}
+	update := RelayUpdate{Generation: r.Generation, Sequence: r.sequence, Position: r.position, Age: max(0, age)}
 	missing := r.sequence - request.Sequence
 	if request.Generation != r.Generation || missing < 0 || missing > int64(len(r.changes)) {
 		update.IsWhole = true
--- a/spokefeed/upstream.go
+++ b/spokefeed/upstream.go
@@ -13,6 +13,8 @@
 	RelayMargin = 400 * spokeclock.Millis(1)
 	// relayRetryDelay is how long a relay is not used after it has failed.
 	relayRetryDelay = 3 * spokeclock.Second
+	// maxRelayAge bounds the age that a relay may state.
+	maxRelayAge = 60 * spokeclock.Second
 )
 
 // Upstream reads a table through the relay of a peer, or directly. Set its fields
@@ -139,19 +141,25 @@
 	return changes, update.Position, nil
 }
 
-// readChanges reads changes from the table itself. An answer may wait here until this
-// process gets to run, so that its arrival doesn't show how new it is: one without
-// changes was sent at the end of the wait, any other at its beginning or later.
+// answeredAt returns the latest time at which the answer to a call was certainly sent.
+// An answer may wait here until this process gets to run, so that its arrival doesn't show
+// how new it is: one without changes was sent at the end of the wait, any other at its
+// beginning or later.
+func (u *Upstream) answeredAt(startedAt, wait spokeclock.Millis, isUnchanged bool) spokeclock.Millis {
+	if !isUnchanged {
+		return startedAt
+	}
+	return min(startedAt+wait, u.Clock.Now())
+}
+
+// readChanges reads changes from the table itself.
 func (u *Upstream) readChanges(ctx context.Context, after Position, wait spokeclock.Millis) ([]Change, Position, error) {
 	startedAt := u.Clock.Now()
 	changes, position, err := u.ChangesFunc(ctx, after, wait)
 	if err != nil {
 		return nil, position, err
 	}
-	position.ReadAt = startedAt
-	if len(changes) == 0 {
-		position.ReadAt = min(startedAt+wait, u.Clock.Now())
-	}
+	position.ReadAt = u.answeredAt(startedAt, wait, len(changes) == 0)
 	u.position = position
 	return changes, position, nil
 }
@@ -173,10 +181,13 @@
 func (u *Upstream) callRelay(ctx context.Context, peer string, request RelayRequest) (RelayUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, (request.Wait + RelayMargin).Duration())
 	defer cancel()
+	startedAt := u.Clock.Now()
 	update, err := u.RelayFunc(ctx, peer, request)
 	if err != nil {
 		u.avoid(peer)
 	}
+	isUnchanged := !update.IsWhole && len(update.Rows)+len(update.Removed) == 0
+	update.Position.ReadAt = u.answeredAt(startedAt, request.Wait, isUnchanged) - min(max(0, update.Age), maxRelayAge)
 	update.Position.Relay, update.Position.RelayGeneration, update.Position.RelaySequence = peer, update.Generation, update.Sequence
 	return update, err
 }
