feed, platform: a silent connection to the store is noticed before an instance counts as recovered

Requests reached servers that had left up to 10 s before, at instances whose connections had fallen silent. After such a poll came a pause of up to 1.2 s, and the next call could take another silent connection from the pool.

--- a/spokefeed/bounds.go
+++ b/spokefeed/bounds.go
@@ -18,7 +18,7 @@
 	TimeoutMargin = spokeclock.Second
 	// recoveryMargin is the time for the call that fetches the changes missed while
 	// the connection was silent.
-	recoveryMargin = spokeclock.Second
+	recoveryMargin = 500 * spokeclock.Millis(1)
 )
 
 // Bounds are the times in which followers must know of changes. The waits of their
@@ -42,8 +42,8 @@
 }
 
 // ChangesWait returns the longest wait of a poll of the table itself. It is bounded so
-// that a connection on which nothing arrives any more is noticed before News holds
-// again.
+// that a connection on which nothing arrives any more is noticed within Recovery, as all
+// older changes must be known then.
 func (b Bounds) ChangesWait() spokeclock.Millis {
-	return max(minChangesWait, b.Recovery+b.News-TimeoutMargin-recoveryMargin)
+	return max(minChangesWait, b.Recovery-TimeoutMargin-recoveryMargin)
 }
--- a/spokefeed/follower.go
+++ b/spokefeed/follower.go
@@ -181,8 +181,10 @@
 	}
 }
 
+// pause returns the pause before the next poll, none before one that finds out whether
+// the table answers at all.
 func (f *Follower) pause() spokeclock.Millis {
-	if f.PauseFunc == nil {
+	if f.PauseFunc == nil || f.probing {
 		return 0
 	}
 	return f.untilPending(f.PauseFunc(f.position.Relay != ""))
