origin, core, route, platform: a stream goes on only at the software version that began it

Callers got streams joined from servers of two software versions: within one answer after a break, and when they took a stream up again at any instance. Cause: the version of a server's row was not decoded, and no choice of a server had it as an input; the class is a second run that goes on with less in common with the first than it needs.

Servers carry their version, and a resumed stream goes on at no other. Within an answer the instance knows it. For a caller that resumes, spokeorigin keeps it: streams of one version of a service, the base, need no record; any other is recorded in the platform's table, in groups, before the caller gets its first event. The base changes only once no stream of it can be resumed. What can't be found out is refused at once. A new stream that may be resumed avoids a version with a single server, and one that can't be recorded at present.

--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -63,7 +63,7 @@
 	slowness := s.slowness(median, now)
 	s.updateTrafficShare(slowness, now)
 	return spokeroute.Candidate{
-		Name: s.instance.Name, DataCentre: s.instance.DataCentre,
+		Name: s.instance.Name, DataCentre: s.instance.DataCentre, SoftwareVersion: s.instance.SoftwareVersion,
 		Local:          s.instance.DataCentre == r.DataCentre,
 		Draining:       r.isClosed(s, now),
 		Throttled:      r.isThrottled(s),
@@ -173,6 +173,20 @@
 	return c
 }
 
+// SoftwareVersions returns how many servers of a service that are not draining have each
+// version of their software.
+func (r *Registry) SoftwareVersions(service string) map[string]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	versions := make(map[string]int)
+	for _, s := range r.servers {
+		if s.instance.Service == service && !r.isDraining(s) {
+			versions[s.instance.SoftwareVersion]++
+		}
+	}
+	return versions
+}
+
 // ServerStatus is the state of one server as shown to operators.
 type ServerStatus struct {
 	instance      spokecloud.Instance
--- a/spokecloud/message.go
+++ b/spokecloud/message.go
@@ -49,6 +49,9 @@
 	// Generation distinguishes the runs of a name. A later run has a greater
 	// number.
 	Generation int64 `json:"generation,omitempty"`
+	// SoftwareVersion is the version of a backend server's software. What servers of two
+	// versions write to a stream doesn't fit together.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// TimeLeft is the time until a terminating instance is removed. Zero means
 	// unknown.
 	TimeLeft spokeclock.Millis `json:"left_millis,omitempty"`
--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -92,7 +92,7 @@
 
 // forwardEvents forwards each event as it arrives. A truncated event is never
 // forwarded.
-func (r *requestRun) forwardEvents(response *Response, attempt *spokebackend.Attempt, w *watchdog, cancel context.CancelCauseFunc) error {
+func (r *requestRun) forwardEvents(ctx context.Context, response *Response, attempt *spokebackend.Attempt, w *watchdog, cancel context.CancelCauseFunc) error {
 	isFirst := true
 	var forwardErr error
 	err := response.EventsFunc(func(event Event) error {
@@ -104,6 +104,9 @@
 			}
 			isFirst = false
 		}
+		if forwardErr = r.beginStream(ctx, attempt.Instance(), w); forwardErr != nil {
+			return forwardErr
+		}
 		forwardErr = r.forwardEvent(response, event, w)
 		if forwardErr == nil && r.allowMoveFromSlow(attempt) {
 			cancel(errServerSlow)
--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -87,7 +87,7 @@
 		r.core.Registry.RecordLoad(attempt.Instance().Name, *response.Load)
 	}
 	if response.EventsFunc != nil && !response.ServerFailed {
-		return r.forwardEvents(response, attempt, w, cancel)
+		return r.forwardEvents(ctx, response, attempt, w, cancel)
 	}
 	r.recordExecutionStart()
 	return r.forwardAnswer(ctx, response, attempt, w)
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -14,6 +14,7 @@
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokelimit"
+	"mulberryspoke.example/mulberryspoke/spokeorigin"
 	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spokeretry"
 	"mulberryspoke.example/mulberryspoke/spokeroute"
@@ -55,6 +56,10 @@
 	// RefusesConnectionsFunc reports whether nothing listens at a backend server's
 	// address. Nil means that it can't be told, so that no crash is recorded.
 	RefusesConnectionsFunc func(ctx context.Context, server spokecloud.Instance) bool
+	// Origins keeps at which version of the servers' software streams began. Nil means
+	// that callers can't resume streams; within an answer, a stream goes on at the
+	// version that began it in any case.
+	Origins *spokeorigin.Records
 	// RequestStartedFunc is called once for each request that a server has
 	// started to run. It may be nil.
 	RequestStartedFunc func(workspace string)
@@ -225,11 +230,19 @@
 	candidates := c.Registry.Candidates(r.request.Service.Name, s.prefixLocations.Server(r.prefixKey))
 	c.markUnreachable(candidates)
 	entryInstances := c.memberCount()
+	routeRequest := spokeroute.Request{
+		LongAnswer: applyLongShare, TriedServers: r.triedServers, PromptTokens: r.request.PromptTokens, SharedPrefixTokens: r.sharedPrefixTokens, PrefixKey: r.prefixKey, EntryInstances: entryInstances,
+		IsResumable: r.request.isResumable(),
+	}
+	if version := r.softwareVersion.Load(); version != nil {
+		routeRequest.SoftwareVersion, routeRequest.IsResumed = *version, true
+	}
+	if c.Origins != nil && routeRequest.IsResumable {
+		routeRequest.PreferredVersion, routeRequest.HasPreferredVersion = c.Origins.PreferredVersion(r.request.Service.Name)
+	}
 	s.mutex.Lock()
 	s.routingPolicy.Routing = routingOf(r.request, entryInstances)
-	decision := s.routingPolicy.Choose(candidates, spokeroute.Request{
-		LongAnswer: applyLongShare, TriedServers: r.triedServers, PromptTokens: r.request.PromptTokens, SharedPrefixTokens: r.sharedPrefixTokens, PrefixKey: r.prefixKey, EntryInstances: entryInstances,
-	})
+	decision := s.routingPolicy.Choose(candidates, routeRequest)
 	s.mutex.Unlock()
 	c.placements.add(Placement{chosenAt: c.Clock.Now(), workspace: r.request.workspaceName(), service: r.request.Service.Name, decision: decision})
 	return decision
--- a/spokecore/move.go
+++ b/spokecore/move.go
@@ -93,8 +93,9 @@
 // hasFreeServer reports whether a server other than the current one could run
 // the request immediately.
 func (r *requestRun) hasFreeServer(current string) bool {
+	version := r.softwareVersion.Load()
 	for _, c := range r.core.Registry.Candidates(r.request.Service.Name, "") {
-		isUsable := !c.Draining && !c.Suspended && !c.Throttled && c.Name != current
+		isUsable := !c.Draining && !c.Suspended && !c.Throttled && c.Name != current && (version == nil || c.SoftwareVersion == *version)
 		if isUsable && c.InFlight < c.Slots && c.Slowness < maxTargetSlowness {
 			return true
 		}
--- a/spokecore/refusal.go
+++ b/spokecore/refusal.go
@@ -28,6 +28,11 @@
 	// server.
 	KindMoved Kind = "moved"
 
+	// KindNotRecorded means that the caller gets nothing of a stream that has begun, as
+	// its origin could not be recorded.
+	KindNotRecorded Kind = "not_recorded"
+	// KindOriginUnknown means that it can't be told which servers can go on with a stream.
+	KindOriginUnknown Kind = "origin_unknown"
 	// KindWorkspaceLimit means that the workspace is over its allotment or a rate limit.
 	KindWorkspaceLimit Kind = "workspace_limit"
 	// KindQuarantined means that the request or a part of its prompt has crashed backend
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -39,6 +39,9 @@
 	// LastEventID is the ID of the event after which to resume a stream. It is
 	// empty for a new stream.
 	LastEventID string
+	// ResumedID is the ID of the request that brought the stream's first event, if the
+	// caller resumes a stream. It is empty if the caller doesn't tell.
+	ResumedID string
 	// SilenceLimits bound how long a backend server may be silent.
 	SilenceLimits SilenceLimits
 }
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -64,6 +64,9 @@
 	firstEventAt  atomic.Int64
 	prefillTokens int
 	eventCount    atomic.Int64
+	// softwareVersion is the version of the servers' software at which the stream began,
+	// or nil before.
+	softwareVersion atomic.Pointer[string]
 	// movedFrom is the server that still holds the KV cache of an answer that is
 	// being moved.
 	movedFrom spokecloud.Instance
@@ -75,6 +78,9 @@
 	if cause := r.checkQuarantine(); cause != nil {
 		return r.finalRefusal(ctx, KindQuarantined, cause)
 	}
+	if refusal := r.findOrigin(ctx); refusal != nil {
+		return refusal
+	}
 	refusal := r.applyLimits()
 	if refusal != nil {
 		return refusal
@@ -163,7 +169,7 @@
 		return true
 	case KindNotRun:
 		return r.service.retryBudget.AllowRetry()
-	case KindNoAnswer, KindInvalidAnswer:
+	case KindNoAnswer, KindInvalidAnswer, KindNotRecorded:
 		return r.canRunAgain() && r.service.retryBudget.AllowRetry()
 	default:
 		return false
--- /dev/null
+++ b/spokeorigin/records_test.go
@@ -0,0 +1,196 @@
+package spokeorigin_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokecase"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokeorigin"
+	"mulberryspoke.example/mulberryspoke/spoketable"
+)
+
+const (
+	service    = "lm"
+	resumeTime = 10 * spokeclock.Second
+	baseKey    = "stream_base/" + service
+)
+
+type originStream struct {
+	ID        string `yaml:"id"`
+	Version   string `yaml:"version"`
+	Workspace string `yaml:"workspace"`
+}
+
+type originStep struct {
+	Advance  spokeclock.Millis `yaml:"advance_millis"`
+	Versions map[string]int    `yaml:"versions"`
+	// Table is how the table answers: unavailable, unknown or, by default, as it should.
+	Table *string        `yaml:"table"`
+	Era   spoketable.Era `yaml:"era"`
+	Lose  string         `yaml:"lose"`
+	Begin *originStream  `yaml:"begin"`
+	Find  *originStream  `yaml:"find"`
+	// Forget lets another process go on, which knows the bases.
+	Forget bool `yaml:"forget"`
+	// StoredBase is a base that another process has written.
+	StoredBase     string           `yaml:"stored_base"`
+	WantStoredBase string           `yaml:"want_stored_base"`
+	WantBase       string           `yaml:"want_base"`
+	Want           string           `yaml:"want"`
+	WantError      spokeorigin.Kind `yaml:"want_error"`
+	Records        *int             `yaml:"records"`
+	Preferred      *string          `yaml:"preferred"`
+}
+
+type originCase struct {
+	Name  string       `yaml:"name"`
+	Steps []originStep `yaml:"steps"`
+}
+
+// TestOrigins guards against streams whose version is told wrong, or told although it
+// isn't known.
+func TestOrigins(t *testing.T) {
+	for _, c := range spokecase.Read[[]originCase](t, "testdata/origins.yaml") {
+		t.Run(c.Name, func(t *testing.T) { newOriginSimulation(t).run(c.Steps) })
+	}
+}
+
+type originSimulation struct {
+	*testing.T
+
+	clock    spokeclock.Manual
+	rows     map[string]spoketable.Row
+	version  spoketable.Version
+	failure  string
+	versions map[string]int
+	era      spoketable.Era
+	records  *spokeorigin.Records
+	base     string
+}
+
+func newOriginSimulation(t *testing.T) *originSimulation {
+	s := &originSimulation{T: t, rows: make(map[string]spoketable.Row), era: 1}
+	s.clock.Advance(1)
+	s.start()
+	return s
+}
+
+// start starts a process that knows nothing.
+func (s *originSimulation) start() {
+	table := spokeorigin.Table{ReadFunc: s.read, TransactFunc: s.transact, ScanFunc: func(context.Context) ([]spoketable.Row, error) { return nil, nil }}
+	s.base = "-"
+	s.records = &spokeorigin.Records{
+		Bases: table, Shards: []spokeorigin.Table{table}, Clock: s.clock.Clock(), Log: zerolog.Nop(),
+		VersionsFunc: func(string) map[string]int { return s.versions }, EraFunc: func() spoketable.Era { return s.era }, IsCleanerFunc: func() bool { return true },
+		ResumeTimesFunc: func() map[string]spokeclock.Millis { return map[string]spokeclock.Millis{service: resumeTime} },
+		BaseChangedFunc: func(_, version string) { s.base = version },
+	}
+}
+
+func (s *originSimulation) read(_ context.Context, keys ...string) ([]spoketable.Row, error) {
+	if s.failure != "" {
+		return nil, spokeerror.Newf("read", spoketable.KindUnavailable, "away")
+	}
+	var rows []spoketable.Row
+	for _, key := range keys {
+		row := s.rows[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (s *originSimulation) transact(_ context.Context, t spoketable.Transaction) (spoketable.Outcome, error) {
+	switch s.failure {
+	case "unavailable":
+		return spoketable.Outcome{}, spokeerror.Newf("write", spoketable.KindUnavailable, "away")
+	case "unknown":
+		return spoketable.Outcome{}, spokeerror.Newf("write", spoketable.KindOutcomeUnknown, "no answer")
+	}
+	for _, c := range t.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			return spoketable.Outcome{}, nil
+		}
+	}
+	s.version++
+	for _, w := range t.Writes {
+		s.rows[w.Key] = spoketable.Row{Key: w.Key, Value: w.Value, Version: s.version}
+	}
+	return spoketable.Outcome{Committed: true, Version: s.version}, nil
+}
+
+func (s *originSimulation) run(steps []originStep) {
+	for i, step := range steps {
+		s.set(step)
+		s.records.Check(context.Background())
+		// The time in which no server has the base begins with the check that notices it.
+		s.clock.Advance(step.Advance)
+		s.records.Check(context.Background())
+		if step.WantBase != "" {
+			require.Equal(s, step.WantBase, s.base, "step %d", i+1)
+		}
+		if step.WantStoredBase != "" {
+			require.Contains(s, string(s.rows[baseKey].Value), step.WantStoredBase, "step %d", i+1)
+		}
+		s.check(step, i+1)
+	}
+}
+
+func (s *originSimulation) set(step originStep) {
+	if step.Versions != nil {
+		s.versions = step.Versions
+	}
+	if step.Table != nil {
+		s.failure = *step.Table
+	}
+	s.era = max(s.era, step.Era)
+	delete(s.rows, step.Lose)
+	if step.StoredBase != "" {
+		s.version++
+		s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: []byte(`{"software_version":"` + step.StoredBase + `"}`), Version: s.version}
+	}
+}
+
+// check begins or finds a stream.
+func (s *originSimulation) check(step originStep, number int) {
+	before := s.streamRows()
+	var err error
+	switch {
+	case step.Begin != nil:
+		err = s.records.Begin(context.Background(), step.Begin.stream(), step.Begin.Version)
+	case step.Find != nil:
+		var version string
+		if step.Forget {
+			s.forget()
+		}
+		version, err = s.records.Find(context.Background(), step.Find.stream())
+		require.Equal(s, step.Want, version, "step %d: %v", number, err)
+	}
+	require.Equal(s, step.WantError, spokeerror.KindOf[spokeorigin.Kind](err), "step %d: %v", number, err)
+	if step.Records != nil {
+		require.Equal(s, *step.Records, s.streamRows()-before, "step %d", number)
+	}
+	if step.Preferred != nil {
+		preferred, _ := s.records.PreferredVersion(service)
+		require.Equal(s, *step.Preferred, preferred, "step %d", number)
+	}
+}
+
+// forget lets the streams that the process knows expire in its memory alone.
+func (s *originSimulation) forget() { s.records.Forget() }
+
+func (s *originSimulation) streamRows() int {
+	return len(slices.DeleteFunc(slices.Collect(maps.Keys(s.rows)), func(key string) bool { return strings.HasPrefix(key, "stream_base/") }))
+}
+
+func (o *originStream) stream() spokeorigin.Stream {
+	return spokeorigin.Stream{ID: o.ID, Service: service, Workspace: o.Workspace}
+}
--- a/spokeroute/candidate.go
+++ b/spokeroute/candidate.go
@@ -8,6 +8,8 @@
 	Name string
 	// DataCentre is the name of its data centre.
 	DataCentre string
+	// SoftwareVersion is the version of its software.
+	SoftwareVersion string
 	// Local is true if it is in the choosing instance's own data centre.
 	Local bool
 	// Draining is true if it gets no new requests.
@@ -61,6 +63,15 @@
 	EntryInstances int
 	// PrefixKey is the key of the shared prefix. Zero means none.
 	PrefixKey uint64
+	// SoftwareVersion is the version at which a stream began that is resumed, if
+	// IsResumed is set. No server of another version can go on with it.
+	SoftwareVersion string
+	IsResumed       bool
+	// IsResumable is true for a new stream that may be resumed later. PreferredVersion is
+	// the version at which it should begin, if HasPreferredVersion is set.
+	IsResumable         bool
+	PreferredVersion    string
+	HasPreferredVersion bool
 }
 
 // Reason is the reason why a server was chosen, or why none was.
--- a/spokeroute/policy.go
+++ b/spokeroute/policy.go
@@ -69,6 +69,7 @@
 func usableCandidates(candidates []Candidate, request Request) []Candidate {
 	usable := make([]Candidate, 0, len(candidates))
 	hasThrottled := false
+	candidates = versionCandidates(candidates, request)
 	for _, c := range candidates {
 		isSound := !c.Draining && !c.Suspended && !slices.Contains(request.TriedServers, c.Name)
 		hasThrottled = hasThrottled || (isSound && c.Throttled)
@@ -77,7 +78,7 @@
 		}
 	}
 	if len(usable) > 0 || hasThrottled {
-		return usable
+		return lastingCandidates(usable, request)
 	}
 	for _, c := range candidates {
 		if !c.Draining && !c.Throttled {
--- a/spokeroute/policy_test.go
+++ b/spokeroute/policy_test.go
@@ -16,7 +16,12 @@
 	Routing      spokeconfig.Routing `yaml:"routing"`
 	LongAnswer   bool                `yaml:"long"`
 	TriedServers []string            `yaml:"avoid"`
-	Candidates   []struct {
+	// Resumed is the version at which a stream began that is resumed. A new one may be
+	// resumed later if it is Resumable, and should begin at Preferred, if set.
+	Resumed    string `yaml:"resumed"`
+	Resumable  bool   `yaml:"resumable"`
+	Preferred  string `yaml:"preferred"`
+	Candidates []struct {
 		Name         string  `yaml:"name"`
 		Remote       bool    `yaml:"remote"`
 		Draining     bool    `yaml:"leaving"`
@@ -28,6 +33,7 @@
 		Slowness     float64 `yaml:"slowness"`
 		TrafficShare float64 `yaml:"trust"`
 		PrefixCached bool    `yaml:"cached"`
+		Version      string  `yaml:"version"`
 	} `yaml:"candidates"`
 	Server string            `yaml:"server"`
 	Reason spokeroute.Reason `yaml:"reason"`
@@ -38,7 +44,7 @@
 	for _, given := range c.Candidates {
 		candidate := spokeroute.Candidate{
 			Name: given.Name, Local: !given.Remote, Draining: given.Draining, Suspended: given.Suspended, Throttled: given.Throttled, Slots: 8,
-			InFlight: given.InFlight, LongInFlight: given.LongInFlight, ReportedLoad: given.ReportedLoad, Slowness: given.Slowness, TrafficShare: given.TrafficShare, PrefixCached: given.PrefixCached,
+			InFlight: given.InFlight, LongInFlight: given.LongInFlight, ReportedLoad: given.ReportedLoad, Slowness: given.Slowness, TrafficShare: given.TrafficShare, PrefixCached: given.PrefixCached, SoftwareVersion: given.Version,
 		}
 		if candidate.TrafficShare == 0 {
 			candidate.TrafficShare = 1
@@ -56,7 +62,10 @@
 		t.Run(c.Name, func(t *testing.T) {
 			for seed := range uint64(50) {
 				policy := spokeroute.Policy{Routing: c.Routing, Random: rand.New(rand.NewPCG(seed, seed))}
-				decision := policy.Choose(c.candidates(), spokeroute.Request{LongAnswer: c.LongAnswer, TriedServers: c.TriedServers})
+				decision := policy.Choose(c.candidates(), spokeroute.Request{
+					LongAnswer: c.LongAnswer, TriedServers: c.TriedServers, SoftwareVersion: c.Resumed, IsResumed: c.Resumed != "",
+					IsResumable: c.Resumable, PreferredVersion: c.Preferred, HasPreferredVersion: c.Preferred != "",
+				})
 				require.Equal(t, c.Server, decision.Server())
 				require.Equal(t, c.Reason, decision.Reason())
 			}
