--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -42,6 +42,10 @@
 	// ResumedID is the ID of the request that brought the stream's first event, if the
 	// caller resumes a stream. It is empty if the caller doesn't tell.
 	ResumedID string
+	// OnEndFunc registers what ends the attempts of the request when the process is about
+	// to end, and returns a function that removes it again. Nil means that nothing ends
+	// them before the deadline.
+	OnEndFunc func(endFunc func()) (removeFunc func() bool)
 	// SilenceLimits bound how long a backend server may be silent.
 	SilenceLimits SilenceLimits
 }
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -91,6 +91,9 @@
 		r.lastEventID = r.request.LastEventID
 		deadlineCtx, cancel := context.WithTimeout(ctx, r.timeLeft().Duration())
 		defer cancel()
+		if r.request.OnEndFunc != nil {
+			defer r.request.OnEndFunc(cancel)()
+		}
 		refusal = r.tryServers(ctx, deadlineCtx)
 		r.endTrial()
 	}
