origin: streams begin without a record while the table is away and no server has the base

Right after a release the base has no servers for as long as its streams may be resumed. With the table away then, no stream that may be resumed could begin. Its record follows when the table answers again; until then another process that is asked to go on with it refuses, as no server has the base. TestOrigins: two scripts more, the second failed before.

--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -93,9 +93,15 @@
 	if !stream.hasValidID() {
 		return spokeerror.Newf("record stream", KindUnavailable, "the request's ID can't be recorded")
 	}
+	writer, write := r.writer(shardOf(stream.ID, len(r.Shards))), spoketable.EncodeWrite(stream.ID, rec)
+	if r.canBeginUnrecorded(stream.Service) {
+		go func() { _ = writer.write(context.Background(), write) }()
+		r.remember(stream, rec)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout.Duration())
 	defer cancel()
-	err := r.writer(shardOf(stream.ID, len(r.Shards))).write(ctx, spoketable.EncodeWrite(stream.ID, rec))
+	err := writer.write(ctx, write)
 	if err != nil {
 		r.Log.Warn().Err(err).Str("id", stream.ID).Str("service", stream.Service).Str("software_version", version).Msg("Origin of a stream could not be recorded.")
 		return err
@@ -120,6 +126,16 @@
 	return len(versions) != 1 || versions[version] == 0
 }
 
+// canBeginUnrecorded reports whether the table doesn't answer and no server has the base:
+// a stream without a record is then not resumed by another process.
+func (r *Records) canBeginUnrecorded(service string) bool {
+	b := r.baseOf(service)
+	r.mutex.Lock()
+	hasFailed := r.hasFailedRecently()
+	r.mutex.Unlock()
+	return hasFailed && b.isKnown && r.VersionsFunc(service)[b.version] == 0
+}
+
 // Find returns the version at which a stream began. Its errors are of KindUnknown or
 // KindUnavailable.
 func (r *Records) Find(ctx context.Context, stream Stream) (string, error) {
