--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -28,6 +28,8 @@
 	recordLifetime = 120 * spokeclock.Second
 	// maxKnown bounds the streams that are kept in memory.
 	maxKnown = 1 << 16
+	// maxUnrecorded bounds the records of a shard that are kept while the table is away.
+	maxUnrecorded = 1 << 12
 )
 
 // Records keeps the origins of streams. Set its fields before the first call. It is
@@ -65,6 +67,8 @@
 	uncertainUntil spokeclock.Millis
 	failedAt       spokeclock.Millis
 	cleanedAt      spokeclock.Millis
+	// unrecorded are the records to write once the table answers again, by shard.
+	unrecorded map[int][]spoketable.Write
 }
 
 // base is the version of a service whose streams need no record.
@@ -93,15 +97,15 @@
 	if !stream.hasValidID() {
 		return spokeerror.Newf("record stream", KindUnavailable, "the request's ID can't be recorded")
 	}
-	writer, write := r.writer(shardOf(stream.ID, len(r.Shards))), spoketable.EncodeWrite(stream.ID, rec)
+	shard, write := shardOf(stream.ID, len(r.Shards)), spoketable.EncodeWrite(stream.ID, rec)
 	if r.canBeginUnrecorded(stream.Service) {
-		go func() { _ = writer.write(context.Background(), write) }()
 		r.remember(stream, rec)
+		r.recordLater(shard, write)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout.Duration())
 	defer cancel()
-	err := writer.write(ctx, write)
+	err := r.writer(shard).write(ctx, write)
 	if err != nil {
 		r.Log.Warn().Err(err).Str("id", stream.ID).Str("service", stream.Service).Str("software_version", version).Msg("Origin of a stream could not be recorded.")
 		return err
@@ -136,6 +140,39 @@
 	return hasFailed && b.isKnown && r.VersionsFunc(service)[b.version] == 0
 }
 
+// recordLater keeps a record until the table answers again.
+func (r *Records) recordLater(shard int, write spoketable.Write) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.unrecorded == nil {
+		r.unrecorded = make(map[int][]spoketable.Write)
+	}
+	if len(r.unrecorded[shard]) < maxUnrecorded {
+		r.unrecorded[shard] = append(r.unrecorded[shard], write)
+	}
+}
+
+// recordUnrecorded writes the records that are kept.
+func (r *Records) recordUnrecorded(ctx context.Context) {
+	for shard := range r.Shards {
+		r.mutex.Lock()
+		writes := r.unrecorded[shard]
+		batch := writes[:min(len(writes), maxBatch)]
+		r.mutex.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
+		outcome, err := r.Shards[shard].TransactFunc(ctx, spoketable.Transaction{Writes: batch})
+		r.recordWrite(err)
+		if err != nil || !outcome.Committed {
+			return
+		}
+		r.mutex.Lock()
+		r.unrecorded[shard] = r.unrecorded[shard][len(batch):]
+		r.mutex.Unlock()
+	}
+}
+
 // Find returns the version at which a stream began. Its errors are of KindUnknown or
 // KindUnavailable.
 func (r *Records) Find(ctx context.Context, stream Stream) (string, error) {
@@ -262,6 +299,7 @@
 	for _, service := range slices.Sorted(maps.Keys(resumeTimes)) {
 		r.checkBase(ctx, service, resumeTimes[service])
 	}
+	r.recordUnrecorded(ctx)
 	r.forgetExpired()
 	r.clean(ctx)
 }
