--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -260,6 +260,12 @@
 	now := r.core.Clock.Now()
 	line := r.core.Log.Info().Str("id", r.request.ID).Str("route", r.request.Route.Name).Str("workspace", r.request.workspaceName()).
 		Float64("cost", r.request.allotmentCost()).Strs("servers", r.triedServers).Int64("ran", r.executions.Load()).Int64("millis", int64(now-r.startedAt))
+	if version := r.softwareVersion.Load(); version != nil {
+		line = line.Str("software_version", *version)
+	}
+	if r.request.LastEventID != "" {
+		line = line.Str("resumes", r.request.ResumedID).Str("after_event", r.request.LastEventID)
+	}
 	if r.executionStarted {
 		firstEventDelay := spokeclock.Millis(r.firstEventAt.Load()) - r.startedAt
 		line = line.Int64("first_millis", int64(firstEventDelay))
