origin, route: streams don't find out that the table answers again; unknown versions come last

While a third of the instances is turned away by the store, each of them let a stream wait for its record every two seconds, for up to a second. A read of the base finds out instead. Rows that tell no version may be another writer's; a stream that may be resumed begins there only if there is no other server.

--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -20,8 +20,9 @@
 	readInterval  = 2 * spokeclock.Second
 	// recordTimeout bounds how long a stream waits for its record before it begins.
 	recordTimeout = spokeclock.Second
-	// failureMemory is how long new streams begin at the base after a failed write.
-	failureMemory = 2 * spokeclock.Second
+	// probeInterval is the time between two reads that find out whether the table answers
+	// again after a failed write.
+	probeInterval = spokeclock.Second
 	// cleanInterval is the time between two removals of old records, recordLifetime far
 	// above the time in which a stream may be resumed, also if wall clocks differ.
 	cleanInterval  = 60 * spokeclock.Second
@@ -65,8 +66,10 @@
 	era   spoketable.Era
 	// uncertainUntil is until when records may have been lost with a restore.
 	uncertainUntil spokeclock.Millis
-	failedAt       spokeclock.Millis
-	cleanedAt      spokeclock.Millis
+	// hasFailed is whether the last write has failed and no read has succeeded since.
+	hasFailed bool
+	probedAt  spokeclock.Millis
+	cleanedAt spokeclock.Millis
 	// unrecorded are the records to write once the table answers again, by shard.
 	unrecorded map[int][]spoketable.Write
 }
@@ -121,7 +124,7 @@
 	b, exists := r.bases[service]
 	isKnown := exists && b.isKnown
 	isBase := isKnown && b.version == version
-	hasFailed := r.hasFailedRecently()
+	hasFailed := r.hasFailed
 	r.mutex.Unlock()
 	if isKnown || !hasFailed {
 		return !isBase
@@ -135,7 +138,7 @@
 func (r *Records) canBeginUnrecorded(service string) bool {
 	b := r.baseOf(service)
 	r.mutex.Lock()
-	hasFailed := r.hasFailedRecently()
+	hasFailed := r.hasFailed
 	r.mutex.Unlock()
 	return hasFailed && b.isKnown && r.VersionsFunc(service)[b.version] == 0
 }
@@ -157,9 +160,9 @@
 	for shard := range r.Shards {
 		r.mutex.Lock()
 		writes := r.unrecorded[shard]
-		batch := writes[:min(len(writes), maxBatch)]
+		batch, hasFailed := writes[:min(len(writes), maxBatch)], r.hasFailed
 		r.mutex.Unlock()
-		if len(batch) == 0 {
+		if len(batch) == 0 || hasFailed {
 			continue
 		}
 		outcome, err := r.Shards[shard].TransactFunc(ctx, spoketable.Transaction{Writes: batch})
@@ -243,18 +246,12 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	b, exists := r.bases[service]
-	if !exists || !b.isKnown || !r.hasFailedRecently() {
+	if !exists || !b.isKnown || !r.hasFailed {
 		return "", false
 	}
 	return b.version, true
 }
 
-// hasFailedRecently reports whether a write has failed and none has succeeded since. The
-// caller holds the mutex.
-func (r *Records) hasFailedRecently() bool {
-	return r.failedAt > 0 && r.Clock.Now()-r.failedAt < failureMemory
-}
-
 func (r *Records) writer(shard int) *batchWriter {
 	r.writersOnce.Do(func() {
 		for _, table := range r.Shards {
@@ -264,13 +261,24 @@
 	return r.writers[shard]
 }
 
+// recordWrite records whether the table has answered.
 func (r *Records) recordWrite(err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.failedAt = 0
-	if err != nil {
-		r.failedAt = max(1, r.Clock.Now())
+	r.hasFailed = err != nil
+	r.probedAt = r.Clock.Now()
+}
+
+// probe finds out whether the table answers again, so that no stream has to.
+func (r *Records) probe(ctx context.Context) {
+	r.mutex.Lock()
+	isDue := r.hasFailed && r.Clock.Now()-r.probedAt >= probeInterval
+	r.mutex.Unlock()
+	if !isDue {
+		return
 	}
+	_, err := r.Bases.ReadFunc(ctx, baseKeyPrefix)
+	r.recordWrite(err)
 }
 
 // remember keeps a stream in memory for as long as it may be resumed.
@@ -299,6 +307,7 @@
 	for _, service := range slices.Sorted(maps.Keys(resumeTimes)) {
 		r.checkBase(ctx, service, resumeTimes[service])
 	}
+	r.probe(ctx)
 	r.recordUnrecorded(ctx)
 	r.forgetExpired()
 	r.clean(ctx)
--- a/spokeroute/version.go
+++ b/spokeroute/version.go
@@ -13,7 +13,7 @@
 
 // lastingCandidates leaves out the servers at which a new stream that may be resumed later
 // should not begin, unless there are no others: those of another version than the
-// preferred one, and of a version that has one server only.
+// preferred one, of a version that has one server only, and of an unknown one.
 func lastingCandidates(usable []Candidate, request Request) []Candidate {
 	if !request.IsResumable || request.IsResumed {
 		return usable
@@ -27,11 +27,15 @@
 	for _, c := range usable {
 		counts[c.SoftwareVersion]++
 	}
-	lasting := keepVersions(usable, func(version string) bool { return counts[version] >= minVersionServers })
-	if len(lasting) == 0 {
-		return usable
+	for _, keepFunc := range []func(version string) bool{
+		func(version string) bool { return version != "" && counts[version] >= minVersionServers },
+		func(version string) bool { return version != "" },
+	} {
+		if lasting := keepVersions(usable, keepFunc); len(lasting) > 0 {
+			return lasting
+		}
 	}
-	return lasting
+	return usable
 }
 
 func keepVersions(candidates []Candidate, keepFunc func(version string) bool) []Candidate {
