--- a/spokefeed/leaving_test.go
+++ b/spokefeed/leaving_test.go
@@ -88,6 +88,13 @@
 		time.Sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
 		fault := s.scenario.Faults[random.IntN(len(s.scenario.Faults))]
 		length := time.Duration(300+random.IntN(9000)) * time.Millisecond
+		if fault == "store_down" {
+			isSilent := random.IntN(2) == 0
+			for _, i := range s.instances {
+				go i.suffer("turned_away", length, 0, isSilent)
+			}
+			continue
+		}
 		for range 1 + random.IntN(6) {
 			candidates := s.instances
 			if random.IntN(2) == 0 {
