backend, core, platform: a leaving server isn't taken back by the row of its present run

A server may start again under its name. While the list still has the run before, the answers of the present one are attributed to that run: a server that said it was leaving was marked by the old run's start, and the row of the present run, read afterwards, put it in use again. The same for what peers tell of a run that this instance's list doesn't have yet: it was dropped.

An answer tells that each run up to its time is leaving, and a removal of a later run than the list has is kept. A run that starts afterwards is used.

--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -133,7 +133,7 @@
 	if found && instance.Generation < s.instance.Generation {
 		return nil
 	}
-	if !found || instance.Generation > s.instance.Generation {
+	if !found || instance.Generation > s.lastRemoved() {
 		s = &server{trafficShare: 1}
 		r.servers[instance.Name] = s
 	}
@@ -159,7 +159,7 @@
 			continue
 		}
 		if s.removalSource != "" {
-			r.removed[name] = removedServer{generation: s.instance.Generation, removedAt: now}
+			r.removed[name] = removedServer{generation: s.lastRemoved(), removedAt: now}
 		}
 		delete(r.servers, name)
 	}
@@ -222,10 +222,11 @@
 	if !found && removal.Generation != 0 {
 		r.removed[name] = removedServer{generation: max(removal.Generation, r.removed[name].generation), removedAt: r.Clock.Now()}
 	}
-	if !found || s.removalSource == removal.Source {
+	if !found || (removal.Generation != 0 && removal.Generation < s.instance.Generation) {
 		return nil
 	}
-	if removal.Generation != 0 && removal.Generation != s.instance.Generation {
+	s.removedThrough = max(s.removedThrough, removal.Generation)
+	if s.removalSource == removal.Source {
 		return nil
 	}
 	if s.removalSource != "" && !s.removalSource.isOperatorMark() {
@@ -278,12 +279,16 @@
 	}
 	for name, s := range r.servers {
 		if s.removalSource != "" && !s.removalSource.isOperatorMark() {
-			removals[name] = Removal{Remaining: max(1, s.expectedGoneAt-now), Generation: s.instance.Generation}
+			removals[name] = Removal{Remaining: max(1, s.expectedGoneAt-now), Generation: s.lastRemoved()}
 		}
 	}
 	return removals
 }
 
+// lastRemoved returns the generation up to which the name's runs are this server, or are
+// being removed with it.
+func (s *server) lastRemoved() int64 { return max(s.instance.Generation, s.removedThrough) }
+
 // PauseServer keeps new requests away from a server for a time that it has asked
 // for. A shorter time does not end an earlier pause.
 func (r *Registry) PauseServer(name string, generation int64, pause spokeclock.Millis) {
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -40,8 +40,8 @@
 	Source RemovalSource
 	// Remaining is the time until the server is gone. Zero means unknown.
 	Remaining spokeclock.Millis
-	// Generation is the generation of the server that is being removed. A later
-	// one of the same name is not. Zero means any.
+	// Generation is the latest generation of the server that may be the one that is being
+	// removed. A later one of the same name is not. Zero means any.
 	Generation int64
 }
 
@@ -69,6 +69,9 @@
 	instance spokecloud.Instance
 	// removalSource is empty unless the server is being removed.
 	removalSource RemovalSource
+	// removedThrough is the latest generation that may be the one that is being removed, if
+	// it is later than that of the instance.
+	removedThrough int64
 	// expectedGoneAt is when a server that is being removed will be gone.
 	expectedGoneAt spokeclock.Millis
 	// unlistedSince is zero while the server is listed.
--- a/spokecore/notice.go
+++ b/spokecore/notice.go
@@ -12,6 +12,9 @@
 type ServerNotice struct {
 	// Leaving is true if the server is about to be removed.
 	Leaving bool
+	// LatestGeneration is the latest generation that a server that is leaving may have:
+	// its name may have started again since the list was read. Zero means that of the list.
+	LatestGeneration int64
 	// Pause is the time for which the server asks this instance for no requests.
 	// Zero means none.
 	Pause spokeclock.Millis
@@ -26,7 +29,7 @@
 // of a leaving server with the next heartbeat.
 func (c *Core) RecordNotice(server spokecloud.Instance, notice ServerNotice) {
 	if notice.Leaving {
-		c.Registry.MarkForRemoval(server.Name, spokebackend.Removal{Source: spokebackend.SourceAnswer, Generation: server.Generation})
+		c.Registry.MarkForRemoval(server.Name, spokebackend.Removal{Source: spokebackend.SourceAnswer, Generation: max(server.Generation, notice.LatestGeneration)})
 	}
 	if throttle := c.Registry.Throttle; throttle != nil {
 		throttle.RecordAnswer(spokethrottle.Server{Name: server.Name, Generation: server.Generation}, notice.Limit, notice.IsAuthentic)
