--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -78,13 +78,14 @@
 	if cause := r.checkQuarantine(); cause != nil {
 		return r.finalRefusal(ctx, KindQuarantined, cause)
 	}
-	if refusal := r.findOrigin(ctx); refusal != nil {
-		return refusal
-	}
 	refusal := r.applyLimits()
 	if refusal != nil {
 		return refusal
 	}
+	if refusal = r.findOrigin(ctx); refusal != nil {
+		r.releaseLimits(refusal)
+		return refusal
+	}
 	admission, refusal := r.admit(ctx)
 	if refusal == nil {
 		r.service.retryBudget.RecordRequest()
