--- a/review/standin/case_usage.go
+++ b/review/standin/case_usage.go
@@ -81,5 +81,6 @@
 			broken = true
 		}
 	}
+	d.record.Logf("%d reports of %d windows were accepted", len(d.Cloud.Reports()), len(first))
 	return broken, nil
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -54,7 +54,7 @@
 	address := k.address
 	k.mu.Unlock()
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = fmt.Sprintf("%s:%d", freeAddress(workerPort), workerPort)
 	}
 	var listener net.Listener
 	var err error
