origin: a base is retired before it is replaced, and callers' own time counts

Streams that began at v1 were broken off at the route's time limit of 5.76 s, came back until their caller's 12 s were over, and went on at v2.

Cause: a stream without a record is taken for one of the base. The base was replaced once no server had had its version for the route's time limit, but callers may come back until their own time is over, and an instance that hadn't read the base lately could still begin streams without a record. Ruled out: the choice of servers (it kept to the version that it was given), lost records (the table was sound).

Change: a base is retired first (all streams are recorded, one without a record is still of it) and replaced 40 s later. A base is taken to be in force for 20 s after a read, and a stream begins without a record only if its caller has at most 20 s left. The row is changed on the condition that it is the one that was read for the decision. Reads that fail count as the table being away, so that a process that starts meanwhile begins streams at the only version at once; its test expected the first of them to be refused, and now also that it is recorded as soon as the table answers.

TestSoftwareVersions and TestStoreRestored pass.

--- a/spokecore/origin.go
+++ b/spokecore/origin.go
@@ -26,7 +26,8 @@
 }
 
 func (r *requestRun) stream(id string) spokeorigin.Stream {
-	return spokeorigin.Stream{ID: id, Service: r.request.Service.Name, Workspace: r.request.workspaceName()}
+	deadline := max(r.request.Deadline, r.request.CallerDeadline)
+	return spokeorigin.Stream{ID: id, Service: r.request.Service.Name, Workspace: r.request.workspaceName(), TimeLeft: deadline - r.core.Clock.Now()}
 }
 
 // beginStream fixes the version at which the stream goes on, and records it before the
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -27,6 +27,9 @@
 	Revision spokeconfig.Revision
 	// Deadline is the time at which the request times out.
 	Deadline spokeclock.Millis
+	// CallerDeadline is the time until which the caller may resume a stream, which may be
+	// later than Deadline. Zero means the same.
+	CallerDeadline spokeclock.Millis
 	// PromptTokens and AnswerTokens are the lengths that the caller declares.
 	// Zero means unknown.
 	PromptTokens int
--- /dev/null
+++ b/spokeorigin/base.go
@@ -0,0 +1,238 @@
+package spokeorigin
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spoketable"
+)
+
+const (
+	// readInterval is the time between two tries to read a base, and refreshInterval
+	// between two reads of one that isn't about to change.
+	readInterval    = 2 * spokeclock.Second
+	refreshInterval = 6 * spokeclock.Second
+	// baseValidity is the time after a read for which a base may be taken to be in force.
+	// It spans short outages of the table.
+	baseValidity = 20 * spokeclock.Second
+	// maxUnrecordedTime bounds the time for which the caller of a stream without a record
+	// may come back. Streams of callers with more time are recorded.
+	maxUnrecordedTime = 20 * spokeclock.Second
+	// absentDelay is the time without any server of its version after which a base is
+	// retired.
+	absentDelay = 2 * spokeclock.Second
+	// replaceDelay is the time after which no stream can come back that began without a
+	// record at a base that has been retired: an instance may take the base to be in force
+	// for baseValidity, and the caller of the last stream has maxUnrecordedTime.
+	replaceDelay = baseValidity + maxUnrecordedTime
+)
+
+// base is what this process knows of a service's base: the version whose streams may
+// begin without a record. A stream without a record is one of the base. A base that no
+// server has is retired first, so that all streams are recorded, and replaced once the
+// last stream that began without a record can't be resumed any more.
+type base struct {
+	record baseRecord
+	// row is the version of the row, or zero if there is none.
+	row     spoketable.Version
+	isKnown bool
+	// era is the table's era of the last read.
+	era spoketable.Era
+	// readAt is when the last successful read began, triedAt when the last one did.
+	readAt  spokeclock.Millis
+	triedAt spokeclock.Millis
+	// seenSince is since when the row has been seen unchanged.
+	seenSince spokeclock.Millis
+	// absentSince is since when no server has had the version, or zero.
+	absentSince spokeclock.Millis
+}
+
+// next returns the base that should follow, or false if there is nothing to change.
+func (b base) next(versions map[string]int, now spokeclock.Millis) (baseRecord, bool) {
+	next := baseRecord{Version: b.record.Version, Changes: b.record.Changes + 1}
+	switch {
+	case b.row == 0:
+		next.Version = mostCommon(versions)
+	case !b.record.IsRetired && b.absentSince > 0 && now-b.absentSince >= absentDelay:
+		next.IsRetired = true
+	case b.record.IsRetired && versions[b.record.Version] > 0:
+	case b.record.IsRetired && now-b.seenSince >= replaceDelay:
+		next.Version = mostCommon(versions)
+	default:
+		return baseRecord{}, false
+	}
+	return next, true
+}
+
+// recordNeed tells when a stream has to be recorded.
+type recordNeed int
+
+const (
+	// recordFirst is for streams that must not begin without a record.
+	recordFirst recordNeed = iota
+	// recordAfterwards is for streams that begin while the table doesn't answer. Without a
+	// record no other process resumes them at another version.
+	recordAfterwards
+	recordNone
+)
+
+// recordNeed returns when a stream that begins at a version has to be recorded.
+func (r *Records) recordNeed(stream Stream, version string) recordNeed {
+	versions, b := r.VersionsFunc(stream.Service), r.baseOf(stream.Service)
+	r.mutex.Lock()
+	hasFailed := r.hasFailed
+	r.mutex.Unlock()
+	isBase := b.isKnown && b.record.Version == version
+	isOnly := len(versions) == 1 && versions[version] > 0
+	switch {
+	case isBase && !b.record.IsRetired && r.Clock.Now()-b.readAt <= baseValidity && stream.TimeLeft <= maxUnrecordedTime:
+		return recordNone
+	case !hasFailed:
+		return recordFirst
+	case isBase, b.isKnown && versions[b.record.Version] == 0, !b.isKnown && isOnly:
+		return recordAfterwards
+	default:
+		return recordFirst
+	}
+}
+
+// baseOf returns a copy of what is known of a service's base.
+func (r *Records) baseOf(service string) base {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if b, exists := r.bases[service]; exists {
+		return *b
+	}
+	return base{}
+}
+
+// updateBase changes what is known of a service's base.
+func (r *Records) updateBase(service string, updateFunc func(b *base)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.bases == nil {
+		r.bases = make(map[string]*base)
+	}
+	if r.bases[service] == nil {
+		r.bases[service] = &base{}
+	}
+	updateFunc(r.bases[service])
+}
+
+// checkBase reads the base of a service when that is due. A process that changes bases
+// decides on the row that it has just read.
+func (r *Records) checkBase(ctx context.Context, service string) {
+	versions := r.VersionsFunc(service)
+	if len(versions) == 0 {
+		return
+	}
+	r.noteAbsence(service, versions)
+	b, now := r.baseOf(service), r.Clock.Now()
+	_, isChangeDue := b.next(versions, now)
+	isChangeDue = isChangeDue && r.IsCleanerFunc()
+	isDue := !b.isKnown || isChangeDue || now-b.readAt >= refreshInterval || b.era != r.EraFunc()
+	if !isDue || (b.triedAt > 0 && now-b.triedAt < readInterval) {
+		return
+	}
+	if !r.refreshBase(ctx, service) || !r.IsCleanerFunc() {
+		return
+	}
+	b = r.baseOf(service)
+	if next, isDue := b.next(versions, r.Clock.Now()); isDue {
+		r.changeBase(ctx, service, b.row, next)
+	}
+}
+
+// noteAbsence records since when no server has had the base's version.
+func (r *Records) noteAbsence(service string, versions map[string]int) {
+	r.updateBase(service, func(b *base) {
+		switch {
+		case !b.isKnown || versions[b.record.Version] > 0:
+			b.absentSince = 0
+		case b.absentSince == 0:
+			b.absentSince = max(1, r.Clock.Now())
+		}
+	})
+}
+
+// refreshBase reads the base of a service. It returns false if the table doesn't answer.
+func (r *Records) refreshBase(ctx context.Context, service string) bool {
+	started := max(1, r.Clock.Now())
+	r.updateBase(service, func(b *base) { b.triedAt = started })
+	row, rec, err := r.readBase(ctx, service)
+	r.recordAnswer(err)
+	if err != nil {
+		return false
+	}
+	if b := r.baseOf(service); b.isKnown && row.Era > b.era && b.record.Changes > rec.Changes {
+		// A restore of the table has brought an older row back.
+		r.changeBase(ctx, service, row.Version, b.record)
+		return true
+	}
+	r.adoptBase(service, row, rec, started)
+	return true
+}
+
+// readBase returns the row of a service's base, which has version zero if there is none.
+func (r *Records) readBase(ctx context.Context, service string) (spoketable.Row, baseRecord, error) {
+	rows, err := r.Bases.ReadFunc(ctx, baseKeyPrefix+service)
+	if err != nil {
+		return spoketable.Row{}, baseRecord{}, err
+	}
+	if rows[0].Version == 0 {
+		return rows[0], baseRecord{}, nil
+	}
+	rec, err := spoketable.DecodeRow[baseRecord](rows[0])
+	return rows[0], rec, err
+}
+
+// changeBase writes a base that follows from a version of its row, unless another process
+// has changed the row since.
+func (r *Records) changeBase(ctx context.Context, service string, decidedOn spoketable.Version, next baseRecord) {
+	started, key := r.Clock.Now(), baseKeyPrefix+service
+	outcome, err := r.Bases.TransactFunc(ctx, spoketable.Transaction{
+		Conditions: []spoketable.Condition{{Key: key, Version: decidedOn}}, Writes: []spoketable.Write{spoketable.EncodeWrite(key, next)},
+	})
+	if err == nil && outcome.Committed {
+		r.adoptBase(service, spoketable.Row{Version: outcome.Version, Era: outcome.Era}, next, started)
+	}
+}
+
+// adoptBase records a base as it was in force at a time.
+func (r *Records) adoptBase(service string, row spoketable.Row, rec baseRecord, readAt spokeclock.Millis) {
+	isChanged, exists := false, row.Version > 0
+	r.updateBase(service, func(b *base) {
+		isChanged = exists && (!b.isKnown || rec != b.record)
+		if !b.isKnown || row.Version != b.row || row.Era != b.era {
+			b.seenSince = r.Clock.Now()
+		}
+		if rec.Version != b.record.Version {
+			b.absentSince = 0
+		}
+		b.record, b.row, b.isKnown, b.era, b.readAt = rec, row.Version, exists, row.Era, readAt
+	})
+	if !isChanged {
+		return
+	}
+	if r.BaseChangedFunc != nil {
+		r.BaseChangedFunc(service, rec.Version)
+	}
+	message := "Streams of this version need no record."
+	if rec.IsRetired {
+		message = "No server has this version any more; all streams are recorded."
+	}
+	r.Log.Info().Str("service", service).Str("software_version", rec.Version).Msg(message)
+}
+
+// mostCommon returns the version of most servers, the first of several by name.
+func mostCommon(versions map[string]int) string {
+	most := ""
+	for _, version := range slices.Sorted(maps.Keys(versions)) {
+		if versions[version] > versions[most] {
+			most = version
+		}
+	}
+	return most
+}
--- a/spokeorigin/record.go
+++ b/spokeorigin/record.go
@@ -31,6 +31,8 @@
 	// Service and Workspace are those of the request.
 	Service   string
 	Workspace string
+	// TimeLeft is the time for which the caller may still resume the stream.
+	TimeLeft spokeclock.Millis
 }
 
 // maxIDBytes bounds the IDs of recorded streams.
@@ -54,6 +56,12 @@
 // baseRecord is the row of a service's base.
 type baseRecord struct {
 	Version string `json:"software_version"`
+	// IsRetired is whether all new streams have to be recorded. Those without a record
+	// are still of this version.
+	IsRetired bool `json:"is_retired,omitempty"`
+	// Changes counts the changes of the base, so that the later of two rows is known
+	// after a restore of the table.
+	Changes int64 `json:"changes,omitempty"`
 }
 
 const baseKeyPrefix = "stream_base/"
--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// checkInterval is the time between two checks of the bases, readInterval between two
-	// reads of a base whose servers have left.
+	// checkInterval is the time between two checks of the bases.
 	checkInterval = 250 * spokeclock.Millis(1)
-	readInterval  = 2 * spokeclock.Second
 	// recordTimeout bounds how long a stream waits for its record before it begins.
 	recordTimeout = spokeclock.Second
 	// probeInterval is the time between two reads that find out whether the table answers
@@ -42,9 +40,8 @@
 	// VersionsFunc returns how many servers of a service that take new requests have
 	// each version.
 	VersionsFunc func(service string) map[string]int
-	// ResumeTimesFunc returns the services whose streams can be resumed, with the
-	// longest time after its begin at which one may be.
-	ResumeTimesFunc func() map[string]spokeclock.Millis
+	// ServicesFunc returns the services whose streams can be resumed.
+	ServicesFunc func() []string
 	// EraFunc returns the era of the tables.
 	EraFunc func() spoketable.Era
 	// IsCleanerFunc reports whether this process changes bases and removes old records.
@@ -74,15 +71,6 @@
 	unrecorded map[int][]spoketable.Write
 }
 
-// base is the version of a service whose streams need no record.
-type base struct {
-	version string
-	isKnown bool
-	// absentSince is since when no server has the version, or zero.
-	absentSince spokeclock.Millis
-	readAt      spokeclock.Millis
-}
-
 type knownStream struct {
 	record  record
 	expires spokeclock.Millis
@@ -93,7 +81,8 @@
 // KindUnavailable or KindOutcomeUnknown.
 func (r *Records) Begin(ctx context.Context, stream Stream, version string) error {
 	rec := record{Service: stream.Service, Workspace: stream.Workspace, Version: version, WrittenAt: spokeclock.Wall()}
-	if !r.needsRecord(stream.Service, version) {
+	need := r.recordNeed(stream, version)
+	if need == recordNone {
 		r.remember(stream, rec)
 		return nil
 	}
@@ -101,7 +90,7 @@
 		return spokeerror.Newf("record stream", KindUnavailable, "the request's ID can't be recorded")
 	}
 	shard, write := shardOf(stream.ID, len(r.Shards)), spoketable.EncodeWrite(stream.ID, rec)
-	if r.canBeginUnrecorded(stream.Service) {
+	if need == recordAfterwards {
 		r.remember(stream, rec)
 		r.recordLater(shard, write)
 		return nil
@@ -117,32 +106,6 @@
 	return nil
 }
 
-// needsRecord reports whether a stream that begins at a version has to be recorded. While
-// the base is not known, only streams of a version that has no other beside it need not.
-func (r *Records) needsRecord(service, version string) bool {
-	r.mutex.Lock()
-	b, exists := r.bases[service]
-	isKnown := exists && b.isKnown
-	isBase := isKnown && b.version == version
-	hasFailed := r.hasFailed
-	r.mutex.Unlock()
-	if isKnown || !hasFailed {
-		return !isBase
-	}
-	versions := r.VersionsFunc(service)
-	return len(versions) != 1 || versions[version] == 0
-}
-
-// canBeginUnrecorded reports whether the table doesn't answer and no server has the base:
-// a stream without a record is then not resumed by another process.
-func (r *Records) canBeginUnrecorded(service string) bool {
-	b := r.baseOf(service)
-	r.mutex.Lock()
-	hasFailed := r.hasFailed
-	r.mutex.Unlock()
-	return hasFailed && b.isKnown && r.VersionsFunc(service)[b.version] == 0
-}
-
 // recordLater keeps a record until the table answers again.
 func (r *Records) recordLater(shard int, write spoketable.Write) {
 	r.mutex.Lock()
@@ -166,7 +129,7 @@
 			continue
 		}
 		outcome, err := r.Shards[shard].TransactFunc(ctx, spoketable.Transaction{Writes: batch})
-		r.recordWrite(err)
+		r.recordAnswer(err)
 		if err != nil || !outcome.Committed {
 			return
 		}
@@ -221,7 +184,7 @@
 	isKnown := exists && b.isKnown
 	version := ""
 	if isKnown {
-		version = b.version
+		version = b.record.Version
 	}
 	r.mutex.Unlock()
 	switch {
@@ -230,14 +193,14 @@
 	case isKnown && r.VersionsFunc(stream.Service)[version] > 0:
 		return version, nil
 	}
-	version, exists, err := r.readBase(ctx, stream.Service)
+	row, rec, err := r.readBase(ctx, stream.Service)
 	if err != nil {
 		return "", spokeerror.New("find origin", KindUnavailable, err)
 	}
-	if !exists {
+	if row.Version == 0 {
 		return "", spokeerror.Newf("find origin", KindUnknown, "the service has no base yet")
 	}
-	return version, nil
+	return rec.Version, nil
 }
 
 // PreferredVersion returns the version at which new streams of a service should begin as
@@ -249,20 +212,20 @@
 	if !exists || !b.isKnown || !r.hasFailed {
 		return "", false
 	}
-	return b.version, true
+	return b.record.Version, true
 }
 
 func (r *Records) writer(shard int) *batchWriter {
 	r.writersOnce.Do(func() {
 		for _, table := range r.Shards {
-			r.writers = append(r.writers, &batchWriter{table: table, finishedFunc: r.recordWrite})
+			r.writers = append(r.writers, &batchWriter{table: table, finishedFunc: r.recordAnswer})
 		}
 	})
 	return r.writers[shard]
 }
 
-// recordWrite records whether the table has answered.
-func (r *Records) recordWrite(err error) {
+// recordAnswer records whether the table has answered.
+func (r *Records) recordAnswer(err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.hasFailed = err != nil
@@ -278,12 +241,11 @@
 		return
 	}
 	_, err := r.Bases.ReadFunc(ctx, baseKeyPrefix)
-	r.recordWrite(err)
+	r.recordAnswer(err)
 }
 
 // remember keeps a stream in memory for as long as it may be resumed.
 func (r *Records) remember(stream Stream, rec record) {
-	resumeTime := r.ResumeTimesFunc()[stream.Service]
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
@@ -291,7 +253,7 @@
 		r.known = make(map[string]knownStream)
 	}
 	if len(r.known) < maxKnown {
-		r.known[stream.ID] = knownStream{record: rec, expires: now + resumeTime}
+		r.known[stream.ID] = knownStream{record: rec, expires: now + stream.TimeLeft}
 	}
 }
 
@@ -302,10 +264,9 @@
 
 // Check maintains the bases once. Run calls it periodically.
 func (r *Records) Check(ctx context.Context) {
-	resumeTimes := r.ResumeTimesFunc()
-	r.noteEra(ctx, resumeTimes)
-	for _, service := range slices.Sorted(maps.Keys(resumeTimes)) {
-		r.checkBase(ctx, service, resumeTimes[service])
+	r.noteEra()
+	for _, service := range r.ServicesFunc() {
+		r.checkBase(ctx, service)
 	}
 	r.probe(ctx)
 	r.recordUnrecorded(ctx)
@@ -313,147 +274,15 @@
 	r.clean(ctx)
 }
 
-// noteEra notices that the table was restored from a copy. Records may be lost, and bases
-// may be older ones.
-func (r *Records) noteEra(ctx context.Context, resumeTimes map[string]spokeclock.Millis) {
+// noteEra notices that the table was restored from a copy. Records may be lost.
+func (r *Records) noteEra() {
 	era := r.EraFunc()
-	r.mutex.Lock()
-	isRestored := r.era > 0 && era > r.era
-	r.era = era
-	if isRestored {
-		for _, resumeTime := range resumeTimes {
-			r.uncertainUntil = max(r.uncertainUntil, r.Clock.Now()+resumeTime)
-		}
-	}
-	r.mutex.Unlock()
-	if !isRestored {
-		return
-	}
-	for service := range resumeTimes {
-		if b := r.baseOf(service); b.isKnown {
-			r.changeBase(ctx, service, b.version)
-		}
-	}
-}
-
-// baseOf returns a copy of what is known of a service's base.
-func (r *Records) baseOf(service string) base {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if b, exists := r.bases[service]; exists {
-		return *b
-	}
-	return base{}
-}
-
-// updateBase changes what is known of a service's base.
-func (r *Records) updateBase(service string, updateFunc func(b *base)) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.bases == nil {
-		r.bases = make(map[string]*base)
-	}
-	if r.bases[service] == nil {
-		r.bases[service] = &base{}
-	}
-	updateFunc(r.bases[service])
-}
-
-// checkBase learns the base of a service, and changes it once no stream of it can be
-// resumed any more.
-func (r *Records) checkBase(ctx context.Context, service string, resumeTime spokeclock.Millis) {
-	versions := r.VersionsFunc(service)
-	if len(versions) == 0 {
-		return
+	if r.era > 0 && era > r.era {
+		r.uncertainUntil = r.Clock.Now() + maxUnrecordedTime
 	}
-	b, now := r.baseOf(service), r.Clock.Now()
-	switch {
-	case !b.isKnown && (b.readAt == 0 || now-b.readAt >= readInterval):
-		r.learnBase(ctx, service, mostCommon(versions))
-	case !b.isKnown:
-	case versions[b.version] > 0:
-		r.updateBase(service, func(b *base) { b.absentSince = 0 })
-	case b.absentSince == 0:
-		r.updateBase(service, func(b *base) { b.absentSince = max(1, now) })
-	case now-b.absentSince >= resumeTime && now-b.readAt >= readInterval:
-		r.replaceBase(ctx, service, b.version, mostCommon(versions))
-	}
-}
-
-// learnBase reads the base of a service. If there is none yet, one process sets it and the
-// others read it later.
-func (r *Records) learnBase(ctx context.Context, service, initial string) {
-	version, exists, err := r.readBase(ctx, service)
-	if err == nil && !exists && r.IsCleanerFunc() {
-		version, exists = initial, r.changeBase(ctx, service, initial)
-	}
-	if err == nil && exists {
-		r.adoptBase(service, version)
-		return
-	}
-	if err == nil && !r.IsCleanerFunc() {
-		r.updateBase(service, func(b *base) { b.readAt = max(1, r.Clock.Now()) })
-	}
-}
-
-// replaceBase replaces a base that no server has any more, unless another process has.
-func (r *Records) replaceBase(ctx context.Context, service, before, next string) {
-	r.updateBase(service, func(b *base) { b.readAt = r.Clock.Now() })
-	version, exists, err := r.readBase(ctx, service)
-	if err != nil {
-		return
-	}
-	if exists && version != before {
-		r.adoptBase(service, version)
-		return
-	}
-	if r.IsCleanerFunc() && r.changeBase(ctx, service, next) {
-		r.adoptBase(service, next)
-	}
-}
-
-func (r *Records) adoptBase(service, version string) {
-	r.updateBase(service, func(b *base) { *b = base{version: version, isKnown: true, readAt: r.Clock.Now()} })
-	if r.BaseChangedFunc != nil {
-		r.BaseChangedFunc(service, version)
-	}
-	r.Log.Info().Str("service", service).Str("software_version", version).Msg("Streams of this version need no record.")
-}
-
-func (r *Records) readBase(ctx context.Context, service string) (version string, exists bool, err error) {
-	rows, err := r.Bases.ReadFunc(ctx, baseKeyPrefix+service)
-	if err != nil || rows[0].Version == 0 {
-		return "", false, err
-	}
-	rec, err := spoketable.DecodeRow[baseRecord](rows[0])
-	return rec.Version, err == nil, err
-}
-
-// changeBase writes the base of a service, unless it is that already or changes meanwhile.
-func (r *Records) changeBase(ctx context.Context, service, version string) bool {
-	key := baseKeyPrefix + service
-	rows, err := r.Bases.ReadFunc(ctx, key)
-	if err != nil {
-		return false
-	}
-	if rec, err := spoketable.DecodeRow[baseRecord](rows[0]); err == nil && rec.Version == version && rows[0].Version != 0 {
-		return true
-	}
-	outcome, err := r.Bases.TransactFunc(ctx, spoketable.Transaction{
-		Conditions: []spoketable.Condition{{Key: key, Version: rows[0].Version}}, Writes: []spoketable.Write{spoketable.EncodeWrite(key, baseRecord{Version: version})},
-	})
-	return err == nil && outcome.Committed
-}
-
-// mostCommon returns the version of most servers, the first of several by name.
-func mostCommon(versions map[string]int) string {
-	most := ""
-	for _, version := range slices.Sorted(maps.Keys(versions)) {
-		if versions[version] > versions[most] {
-			most = version
-		}
-	}
-	return most
+	r.era = era
 }
 
 // forgetExpired forgets the streams that can't be resumed any more.
--- a/spokeorigin/records_test.go
+++ b/spokeorigin/records_test.go
@@ -18,18 +18,22 @@
 )
 
 const (
-	service    = "lm"
-	resumeTime = 10 * spokeclock.Second
-	baseKey    = "stream_base/" + service
+	service = "lm"
+	baseKey = "stream_base/" + service
+	// timeLeft is the time of a stream's caller if the script names none.
+	timeLeft = 10 * spokeclock.Second
 )
 
 type originStream struct {
 	ID        string `yaml:"id"`
 	Version   string `yaml:"version"`
 	Workspace string `yaml:"workspace"`
+	// TimeLeft is the time for which the caller may resume the stream.
+	TimeLeft spokeclock.Millis `yaml:"time_left_millis"`
 }
 
 type originStep struct {
+	Note     string            `yaml:"note"`
 	Advance  spokeclock.Millis `yaml:"advance_millis"`
 	Versions map[string]int    `yaml:"versions"`
 	// Table is how the table answers: unavailable, unknown or, by default, as it should.
@@ -40,6 +44,8 @@
 	Find  *originStream  `yaml:"find"`
 	// Forget lets another process go on, which knows the bases.
 	Forget bool `yaml:"forget"`
+	// IsFrozen is whether the process does not run while the time advances.
+	IsFrozen bool `yaml:"is_frozen"`
 	// StoredBase is a base that another process has written.
 	StoredBase     string           `yaml:"stored_base"`
 	WantStoredBase string           `yaml:"want_stored_base"`
@@ -90,7 +96,7 @@
 	s.records = &spokeorigin.Records{
 		Bases: table, Shards: []spokeorigin.Table{table}, Clock: s.clock.Clock(), Log: zerolog.Nop(),
 		VersionsFunc: func(string) map[string]int { return s.versions }, EraFunc: func() spoketable.Era { return s.era }, IsCleanerFunc: func() bool { return true },
-		ResumeTimesFunc: func() map[string]spokeclock.Millis { return map[string]spokeclock.Millis{service: resumeTime} },
+		ServicesFunc:    func() []string { return []string{service} },
 		BaseChangedFunc: func(_, version string) { s.base = version },
 	}
 }
@@ -102,7 +108,7 @@
 	var rows []spoketable.Row
 	for _, key := range keys {
 		row := s.rows[key]
-		row.Key = key
+		row.Key, row.Era = key, s.era
 		rows = append(rows, row)
 	}
 	return rows, nil
@@ -124,7 +130,7 @@
 	for _, w := range t.Writes {
 		s.rows[w.Key] = spoketable.Row{Key: w.Key, Value: w.Value, Version: s.version}
 	}
-	return spoketable.Outcome{Committed: true, Version: s.version}, nil
+	return spoketable.Outcome{Committed: true, Version: s.version, Era: s.era}, nil
 }
 
 func (s *originSimulation) run(steps []originStep) {
@@ -133,7 +139,9 @@
 		s.records.Check(context.Background())
 		// The time in which no server has the base begins with the check that notices it.
 		s.clock.Advance(step.Advance)
-		s.records.Check(context.Background())
+		if !step.IsFrozen {
+			s.records.Check(context.Background())
+		}
 		if step.WantBase != "" {
 			require.Equal(s, step.WantBase, s.base, "step %d", i+1)
 		}
@@ -192,5 +200,9 @@
 }
 
 func (o *originStream) stream() spokeorigin.Stream {
-	return spokeorigin.Stream{ID: o.ID, Service: service, Workspace: o.Workspace}
+	left := o.TimeLeft
+	if left == 0 {
+		left = timeLeft
+	}
+	return spokeorigin.Stream{ID: o.ID, Service: service, Workspace: o.Workspace, TimeLeft: left}
 }
