usage: windows that may have been reported before a restore are left out

Cause: that a window was reported is known from the row usage/decided, which the restore takes back, and from the processes' memory. A new holder took "not in the row and not in memory" for "not reported". The lease was ruled out: its fencing number grew, and one process held it.

Change: stored reports name the era in which they were stored. A holder that takes over and finds only reports of an earlier era leaves out windows that had ended when it first saw the present one, unless the table has their reports or it remembers them; it logs each. If nothing new is to be stored, the row isn't written.

--- a/spokeusage/reporter.go
+++ b/spokeusage/reporter.go
@@ -40,6 +40,8 @@
 	Window Window `json:"window"`
 	// Counts has the number of requests started in the window, by workspace.
 	Counts map[string]int64 `json:"counts"`
+	// Era is the table's era in which the report was stored.
+	Era spoketable.Era `json:"era,omitempty"`
 }
 
 // Reporter reports each window while this instance holds the lease. A report is
@@ -65,6 +67,8 @@
 	// CountsDelayFunc returns the time after a window's end until the peers' last
 	// counts have arrived. Nil means the least time.
 	CountsDelayFunc func() spokeclock.Millis
+	// EraFunc returns the era of the table. Nil means that it has none.
+	EraFunc func() spoketable.Era
 	// Log is the logger.
 	Log zerolog.Logger
 
@@ -82,6 +86,15 @@
 	// lastStored is the newest window of which this process or a peer has stored
 	// the report.
 	lastStored atomic.Int64
+	// era is the newest era that this process knows, eraSeenAt the ledger's time at which
+	// it was first seen.
+	era       spoketable.Era
+	eraSeenAt spokeclock.Millis
+	// firstCertain is the first window of which no earlier holder can have sent a report
+	// that the table has lost.
+	firstCertain Window
+	// skippedThrough is the last window that was left out.
+	skippedThrough Window
 }
 
 // Counts returns the newest window that is known to be stored, to be sent to
@@ -141,18 +154,21 @@
 
 // reportDue stores and sends the reports that are due while the lease is held.
 func (r *Reporter) reportDue(ctx context.Context) {
+	if r.EraFunc != nil {
+		r.noteEra(r.EraFunc())
+	}
 	fence, held := r.Lease.Held()
 	if !held {
 		r.isLoaded = false
 		return
 	}
 	if fence != r.fence || !r.isLoaded {
+		r.isLoaded = r.load(ctx, fence != r.fence)
+		if !r.isLoaded {
+			return
+		}
 		r.fence = fence
 		r.sent = make(map[Window]bool)
-		r.isLoaded = r.load(ctx)
-	}
-	if !r.isLoaded {
-		return
 	}
 	r.storeSnapshot(ctx)
 	if !r.storeEnded(ctx) {
@@ -163,14 +179,25 @@
 	}
 }
 
+// noteEra records when this process first saw an era of the table.
+func (r *Reporter) noteEra(era spoketable.Era) {
+	if era > r.era {
+		r.era, r.eraSeenAt = era, r.Ledger.wall()
+	}
+}
+
 // load reads the reports that earlier holders stored. It returns false if they
 // could not be read.
-func (r *Reporter) load(ctx context.Context) bool {
+func (r *Reporter) load(ctx context.Context, isNewHolder bool) bool {
 	rows, err := r.ReadFunc(ctx, reportsKey, snapshotKey)
 	if err != nil {
 		r.Log.Warn().Err(err).Msg("Stored usage reports could not be read.")
 		return false
 	}
+	r.noteEra(rows[0].Era)
+	if isNewHolder {
+		r.firstCertain, r.skippedThrough = 0, 0
+	}
 	r.restoreSnapshot(rows[1])
 	r.stored = nil
 	r.version = rows[0].Version
@@ -184,9 +211,21 @@
 	}
 	r.stored = slices.DeleteFunc(stored, func(report Report) bool { return !r.Ledger.isPlausible(report.Window) })
 	r.remember(r.stored)
+	if isNewHolder && storedEra(r.stored) < rows[0].Era {
+		r.firstCertain = Window(r.eraSeenAt / r.Ledger.WindowLength)
+	}
 	return true
 }
 
+// storedEra returns the era in which reports were last stored.
+func storedEra(reports []Report) spoketable.Era {
+	var era spoketable.Era
+	for _, report := range reports {
+		era = max(era, report.Era)
+	}
+	return era
+}
+
 // restoreSnapshot adds the counts of an earlier holder, which may be all that is left
 // of instances that died together.
 func (r *Reporter) restoreSnapshot(row spoketable.Row) {
@@ -228,14 +267,20 @@
 	if len(r.stored) > 0 {
 		first = max(r.stored[len(r.stored)-1].Window+1, last-windowsKept+1)
 	}
-	if first > last {
-		return true
-	}
+	first = max(first, r.skippedThrough+1)
 	reports := r.recent()
+	isNew := false
 	for w := first; w <= last; w++ {
-		if report, ok := r.undecidedReport(w); ok {
-			reports = append(reports, report)
+		report, ok := r.undecidedReport(w)
+		if !ok {
+			r.skippedThrough = w
+			continue
 		}
+		report.Era, isNew = r.era, true
+		reports = append(reports, report)
+	}
+	if !isNew {
+		return true
 	}
 	outcome, err := r.TransactFunc(ctx, spoketable.Transaction{
 		Conditions: []spoketable.Condition{{Key: reportsKey, Version: r.version}},
@@ -254,8 +299,8 @@
 
 // undecidedReport returns the report of a window that the table doesn't have. It
 // is the one that this process remembers, if a restore has removed it from the
-// table. It returns false if only a peer has stored one, whose counts are not
-// known: another report could contradict it.
+// table. It returns false if an earlier holder has sent one, or may have, whose counts
+// are not known: another report could contradict it.
 func (r *Reporter) undecidedReport(w Window) (Report, bool) {
 	if report, known := r.remembered[w]; known {
 		return report, true
@@ -264,6 +309,10 @@
 		r.Log.Warn().Int64("window", int64(w)).Msg("Usage report was lost with a restore of the table and is not sent again.")
 		return Report{}, false
 	}
+	if w < r.firstCertain {
+		r.Log.Warn().Int64("window", int64(w)).Int64("era", int64(r.era)).Msg("Usage window may have been reported before a restore of the table and is not reported.")
+		return Report{}, false
+	}
 	return r.report(w), true
 }
 
--- a/spokeusage/reporter_test.go
+++ b/spokeusage/reporter_test.go
@@ -79,6 +79,7 @@
 	sent          []int64
 	fence         spokelease.FencingNumber
 	responsesLost bool
+	era           spoketable.Era
 }
 
 func newReportSimulation(t *testing.T) *reportSimulation {
@@ -110,7 +111,8 @@
 	}
 	s.reporters[name] = &spokeusage.Reporter{
 		Ledger: s.ledgers[name], Lease: s.leases[name], WorkspacesFunc: func() []string { return []string{"w"} },
-		ReadFunc: s.table.Read, TransactFunc: s.table.Transact, SendFunc: s.receiveReport, IdentityFunc: func() spokeusage.Identity { return spokeusage.Identity{Instance: name, Generation: generation} }, Log: zerolog.Nop(),
+		ReadFunc: s.table.Read, TransactFunc: s.table.Transact, SendFunc: s.receiveReport, IdentityFunc: func() spokeusage.Identity { return spokeusage.Identity{Instance: name, Generation: generation} },
+		EraFunc: func() spoketable.Era { return s.era }, Log: zerolog.Nop(),
 	}
 }
 
@@ -141,6 +143,9 @@
 		if step.Copy || step.Restore {
 			s.controlFunc(spokestandin.TableFaults{Copy: step.Copy, Restore: step.Restore})
 		}
+		if step.Restore {
+			s.era++
+		}
 		s.applyInstances(step.Restart, step.Requests)
 		if step.CountsTo != "" {
 			other := map[string]string{"a": "b", "b": "a"}[step.CountsTo]
