origin: an instance that starts after a restore knows that records may be lost

Cause: a restore was noticed by a change of the era since the process's own start. A process that started after it trusted the table at once and took a lost record for a stream of the base. Ruled out: the base itself (it was v1 throughout), a record not written in time (the streams' first events came after their records, before the restore).

Change: the base's row names the era in which no record can be missing. Below the present era, streams without a record are refused and all new ones are recorded; 40 s after it was first seen so, the row is raised to the present era. What each process has seen before no longer matters.

TestOrigins, "a process that starts after a restore of the table": v1 told for a stream of v2 on, refused now.

--- a/spokeorigin/base.go
+++ b/spokeorigin/base.go
@@ -51,15 +51,19 @@
 
 // next returns the base that should follow, or false if there is nothing to change.
 func (b base) next(versions map[string]int, now spokeclock.Millis) (baseRecord, bool) {
-	next := baseRecord{Version: b.record.Version, Changes: b.record.Changes + 1}
+	next, seenFor := b.record, now-b.seenSince
+	next.Changes++
 	switch {
 	case b.row == 0:
-		next.Version = mostCommon(versions)
+		next.Version, next.Era = mostCommon(versions), b.era
+	case b.record.Era < b.era && seenFor >= replaceDelay:
+		next.Era = b.era
 	case !b.record.IsRetired && b.absentSince > 0 && now-b.absentSince >= absentDelay:
 		next.IsRetired = true
 	case b.record.IsRetired && versions[b.record.Version] > 0:
-	case b.record.IsRetired && now-b.seenSince >= replaceDelay:
-		next.Version = mostCommon(versions)
+		next.IsRetired = false
+	case b.record.IsRetired && seenFor >= replaceDelay:
+		next.Version, next.IsRetired = mostCommon(versions), false
 	default:
 		return baseRecord{}, false
 	}
@@ -80,14 +84,15 @@
 
 // recordNeed returns when a stream that begins at a version has to be recorded.
 func (r *Records) recordNeed(stream Stream, version string) recordNeed {
-	versions, b := r.VersionsFunc(stream.Service), r.baseOf(stream.Service)
+	versions, b, now := r.VersionsFunc(stream.Service), r.baseOf(stream.Service), r.Clock.Now()
 	r.mutex.Lock()
 	hasFailed := r.hasFailed
 	r.mutex.Unlock()
 	isBase := b.isKnown && b.record.Version == version
+	isInForce := isBase && !b.record.IsRetired && now-b.readAt <= baseValidity && b.record.Era == r.EraFunc()
 	isOnly := len(versions) == 1 && versions[version] > 0
 	switch {
-	case isBase && !b.record.IsRetired && r.Clock.Now()-b.readAt <= baseValidity && stream.TimeLeft <= maxUnrecordedTime:
+	case isInForce && stream.TimeLeft <= maxUnrecordedTime:
 		return recordNone
 	case !hasFailed:
 		return recordFirst
@@ -125,10 +130,10 @@
 // decides on the row that it has just read.
 func (r *Records) checkBase(ctx context.Context, service string) {
 	versions := r.VersionsFunc(service)
-	if len(versions) == 0 {
+	if versions[mostCommon(versions)] == 0 {
 		return
 	}
-	r.noteAbsence(service, versions)
+	r.noteVersions(service, versions)
 	b, now := r.baseOf(service), r.Clock.Now()
 	_, isChangeDue := b.next(versions, now)
 	isChangeDue = isChangeDue && r.IsCleanerFunc()
@@ -145,14 +150,15 @@
 	}
 }
 
-// noteAbsence records since when no server has had the base's version.
-func (r *Records) noteAbsence(service string, versions map[string]int) {
+// noteVersions records since when no server has had the base's version.
+func (r *Records) noteVersions(service string, versions map[string]int) {
+	now := max(1, r.Clock.Now())
 	r.updateBase(service, func(b *base) {
 		switch {
-		case !b.isKnown || versions[b.record.Version] > 0:
+		case !b.isKnown, versions[b.record.Version] > 0:
 			b.absentSince = 0
 		case b.absentSince == 0:
-			b.absentSince = max(1, r.Clock.Now())
+			b.absentSince = now
 		}
 	})
 }
@@ -204,7 +210,7 @@
 func (r *Records) adoptBase(service string, row spoketable.Row, rec baseRecord, readAt spokeclock.Millis) {
 	isChanged, exists := false, row.Version > 0
 	r.updateBase(service, func(b *base) {
-		isChanged = exists && (!b.isKnown || rec != b.record)
+		isChanged = exists && (!b.isKnown || rec.Version != b.record.Version || rec.IsRetired != b.record.IsRetired)
 		if !b.isKnown || row.Version != b.row || row.Era != b.era {
 			b.seenSince = r.Clock.Now()
 		}
--- a/spokeorigin/record.go
+++ b/spokeorigin/record.go
@@ -62,6 +62,10 @@
 	// Changes counts the changes of the base, so that the later of two rows is known
 	// after a restore of the table.
 	Changes int64 `json:"changes,omitempty"`
+	// Era is the era of the table in which no record of a stream is missing. It is below
+	// the present one after a restore, until streams whose records were lost can't be
+	// resumed any more.
+	Era spoketable.Era `json:"era,omitempty"`
 }
 
 const baseKeyPrefix = "stream_base/"
--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -60,9 +60,6 @@
 	bases map[string]*base
 	// known are streams that this process has begun or found.
 	known map[string]knownStream
-	era   spoketable.Era
-	// uncertainUntil is until when records may have been lost with a restore.
-	uncertainUntil spokeclock.Millis
 	// hasFailed is whether the last write has failed and no read has succeeded since.
 	hasFailed bool
 	probedAt  spokeclock.Millis
@@ -178,29 +175,21 @@
 
 // unrecordedVersion returns the version of a stream that has no record: the base.
 func (r *Records) unrecordedVersion(ctx context.Context, stream Stream) (string, error) {
-	r.mutex.Lock()
-	isUncertain := r.Clock.Now() < r.uncertainUntil
-	b, exists := r.bases[stream.Service]
-	isKnown := exists && b.isKnown
-	version := ""
-	if isKnown {
-		version = b.record.Version
+	b, versions := r.baseOf(stream.Service), r.VersionsFunc(stream.Service)
+	if !b.isKnown || versions[b.record.Version] == 0 {
+		row, rec, err := r.readBase(ctx, stream.Service)
+		if err != nil {
+			return "", spokeerror.New("find origin", KindUnavailable, err)
+		}
+		if row.Version == 0 {
+			return "", spokeerror.Newf("find origin", KindUnknown, "the service has no base yet")
+		}
+		b.record = rec
 	}
-	r.mutex.Unlock()
-	switch {
-	case isUncertain:
+	if b.record.Era < r.EraFunc() {
 		return "", spokeerror.Newf("find origin", KindUnknown, "the table was restored, and may have lost the record")
-	case isKnown && r.VersionsFunc(stream.Service)[version] > 0:
-		return version, nil
 	}
-	row, rec, err := r.readBase(ctx, stream.Service)
-	if err != nil {
-		return "", spokeerror.New("find origin", KindUnavailable, err)
-	}
-	if row.Version == 0 {
-		return "", spokeerror.Newf("find origin", KindUnknown, "the service has no base yet")
-	}
-	return rec.Version, nil
+	return b.record.Version, nil
 }
 
 // PreferredVersion returns the version at which new streams of a service should begin as
@@ -264,7 +253,6 @@
 
 // Check maintains the bases once. Run calls it periodically.
 func (r *Records) Check(ctx context.Context) {
-	r.noteEra()
 	for _, service := range r.ServicesFunc() {
 		r.checkBase(ctx, service)
 	}
@@ -274,17 +262,6 @@
 	r.clean(ctx)
 }
 
-// noteEra notices that the table was restored from a copy. Records may be lost.
-func (r *Records) noteEra() {
-	era := r.EraFunc()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.era > 0 && era > r.era {
-		r.uncertainUntil = r.Clock.Now() + maxUnrecordedTime
-	}
-	r.era = era
-}
-
 // forgetExpired forgets the streams that can't be resumed any more.
 func (r *Records) forgetExpired() {
 	r.mutex.Lock()
--- a/spokeorigin/records_test.go
+++ b/spokeorigin/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -46,8 +47,11 @@
 	Forget bool `yaml:"forget"`
 	// IsFrozen is whether the process does not run while the time advances.
 	IsFrozen bool `yaml:"is_frozen"`
-	// StoredBase is a base that another process has written.
+	// Restart lets a process go on that has just started.
+	Restart bool `yaml:"restart"`
+	// StoredBase is a base that another process has written, by default in the present era.
 	StoredBase     string           `yaml:"stored_base"`
+	StoredEra      spoketable.Era   `yaml:"stored_era"`
 	WantStoredBase string           `yaml:"want_stored_base"`
 	WantBase       string           `yaml:"want_base"`
 	Want           string           `yaml:"want"`
@@ -161,9 +165,16 @@
 	}
 	s.era = max(s.era, step.Era)
 	delete(s.rows, step.Lose)
+	if step.Restart {
+		s.start()
+	}
 	if step.StoredBase != "" {
+		era := s.era
+		if step.StoredEra > 0 {
+			era = step.StoredEra
+		}
 		s.version++
-		s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: []byte(`{"software_version":"` + step.StoredBase + `"}`), Version: s.version}
+		s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: fmt.Appendf(nil, `{"software_version":%q,"era":%d}`, step.StoredBase, era), Version: s.version}
 	}
 }
 
