origin: after a restore only streams whose record can be missing are refused

Cause: after a restore each stream without a record was refused for a time, although streams of the base have none and all servers had the base's version. Ruled out: servers without room (new streams began at the same instances), records (there are none with one version).

Change: while all known servers, draining ones too, have the base's version, and have had it for as long as a stream can be resumed, a stream without a record is of the base whatever the era. Otherwise an instance that notices a restore writes the records of the streams that it knows again, so that only those of instances that died stay in doubt.

TestOrigins, "a restore of the table while all servers have the base" and "a process records its streams again after a restore of the table": refused on, pass now.

--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -174,15 +174,20 @@
 }
 
 // SoftwareVersions returns how many servers of a service that are not draining have each
-// version of their software.
+// version of their software. Versions of draining servers only have none.
 func (r *Registry) SoftwareVersions(service string) map[string]int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	versions := make(map[string]int)
 	for _, s := range r.servers {
-		if s.instance.Service == service && !r.isDraining(s) {
-			versions[s.instance.SoftwareVersion]++
+		if s.instance.Service != service {
+			continue
+		}
+		open := 1
+		if r.isDraining(s) {
+			open = 0
 		}
+		versions[s.instance.SoftwareVersion] += open
 	}
 	return versions
 }
--- a/spokeorigin/base.go
+++ b/spokeorigin/base.go
@@ -23,6 +23,9 @@
 	// absentDelay is the time without any server of its version after which a base is
 	// retired.
 	absentDelay = 2 * spokeclock.Second
+	// settleDelay is the time after a restore of the table in which an instance learns of
+	// servers of another version.
+	settleDelay = 5 * spokeclock.Second
 	// replaceDelay is the time after which no stream can come back that began without a
 	// record at a base that has been retired: an instance may take the base to be in force
 	// for baseValidity, and the caller of the last stream has maxUnrecordedTime.
@@ -47,6 +50,14 @@
 	seenSince spokeclock.Millis
 	// absentSince is since when no server has had the version, or zero.
 	absentSince spokeclock.Millis
+	// otherSeenAt is when a server of another version was last known, or zero.
+	otherSeenAt spokeclock.Millis
+}
+
+// isOnly reports whether all servers have had the version for as long as a stream can be
+// resumed, so that no record of a stream can be missing.
+func (b base) isOnly(versions map[string]int, now spokeclock.Millis) bool {
+	return len(versions) == 1 && versions[b.record.Version] > 0 && (b.otherSeenAt == 0 || now-b.otherSeenAt >= replaceDelay)
 }
 
 // next returns the base that should follow, or false if there is nothing to change.
@@ -56,7 +67,7 @@
 	switch {
 	case b.row == 0:
 		next.Version, next.Era = mostCommon(versions), b.era
-	case b.record.Era < b.era && seenFor >= replaceDelay:
+	case b.record.Era < b.era && (seenFor >= replaceDelay || (seenFor >= settleDelay && b.isOnly(versions, now))):
 		next.Era = b.era
 	case !b.record.IsRetired && b.absentSince > 0 && now-b.absentSince >= absentDelay:
 		next.IsRetired = true
@@ -89,7 +100,7 @@
 	hasFailed := r.hasFailed
 	r.mutex.Unlock()
 	isBase := b.isKnown && b.record.Version == version
-	isInForce := isBase && !b.record.IsRetired && now-b.readAt <= baseValidity && b.record.Era == r.EraFunc()
+	isInForce := isBase && !b.record.IsRetired && now-b.readAt <= baseValidity && (b.record.Era == r.EraFunc() || b.isOnly(versions, now))
 	isOnly := len(versions) == 1 && versions[version] > 0
 	switch {
 	case isInForce && stream.TimeLeft <= maxUnrecordedTime:
@@ -150,12 +161,20 @@
 	}
 }
 
-// noteVersions records since when no server has had the base's version.
+// noteVersions records since when no server that takes new requests has had the base's
+// version, and when servers of other versions were last known.
 func (r *Records) noteVersions(service string, versions map[string]int) {
 	now := max(1, r.Clock.Now())
 	r.updateBase(service, func(b *base) {
+		if !b.isKnown {
+			return
+		}
+		_, isListed := versions[b.record.Version]
+		if len(versions) > 1 || !isListed {
+			b.otherSeenAt = now
+		}
 		switch {
-		case !b.isKnown, versions[b.record.Version] > 0:
+		case versions[b.record.Version] > 0:
 			b.absentSince = 0
 		case b.absentSince == 0:
 			b.absentSince = now
@@ -215,7 +234,7 @@
 			b.seenSince = r.Clock.Now()
 		}
 		if rec.Version != b.record.Version {
-			b.absentSince = 0
+			b.absentSince, b.otherSeenAt = 0, 0
 		}
 		b.record, b.row, b.isKnown, b.era, b.readAt = rec, row.Version, exists, row.Era, readAt
 	})
--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -38,7 +38,7 @@
 	Bases  Table
 	Shards []Table
 	// VersionsFunc returns how many servers of a service that take new requests have
-	// each version.
+	// each version of those that any server has.
 	VersionsFunc func(service string) map[string]int
 	// ServicesFunc returns the services whose streams can be resumed.
 	ServicesFunc func() []string
@@ -60,6 +60,8 @@
 	bases map[string]*base
 	// known are streams that this process has begun or found.
 	known map[string]knownStream
+	// era is the table's era at the last check.
+	era spoketable.Era
 	// hasFailed is whether the last write has failed and no read has succeeded since.
 	hasFailed bool
 	probedAt  spokeclock.Millis
@@ -186,7 +188,7 @@
 		}
 		b.record = rec
 	}
-	if b.record.Era < r.EraFunc() {
+	if b.record.Era < r.EraFunc() && !b.isOnly(versions, r.Clock.Now()) {
 		return "", spokeerror.Newf("find origin", KindUnknown, "the table was restored, and may have lost the record")
 	}
 	return b.record.Version, nil
@@ -253,6 +255,9 @@
 
 // Check maintains the bases once. Run calls it periodically.
 func (r *Records) Check(ctx context.Context) {
+	if r.isRestored() {
+		r.recordKnown()
+	}
 	for _, service := range r.ServicesFunc() {
 		r.checkBase(ctx, service)
 	}
@@ -262,6 +267,30 @@
 	r.clean(ctx)
 }
 
+// isRestored reports whether the table has been restored from a copy since the last call.
+func (r *Records) isRestored() bool {
+	era := r.EraFunc()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	isRestored := r.era > 0 && era > r.era
+	r.era = era
+	return isRestored
+}
+
+// recordKnown records the streams that this process knows, of services whose streams can't be
+// told by their base, as a restore of the table may have removed their records.
+func (r *Records) recordKnown() {
+	r.mutex.Lock()
+	streams := maps.Clone(r.known)
+	r.mutex.Unlock()
+	for id, stream := range streams {
+		service := stream.record.Service
+		if b := r.baseOf(service); !b.isOnly(r.VersionsFunc(service), r.Clock.Now()) {
+			r.recordLater(shardOf(id, len(r.Shards)), spoketable.EncodeWrite(id, stream.record))
+		}
+	}
+}
+
 // forgetExpired forgets the streams that can't be resumed any more.
 func (r *Records) forgetExpired() {
 	r.mutex.Lock()
