--- a/spokeorigin/base.go
+++ b/spokeorigin/base.go
@@ -23,9 +23,12 @@
 	// absentDelay is the time without any server of its version after which a base is
 	// retired.
 	absentDelay = 2 * spokeclock.Second
-	// settleDelay is the time after a restore of the table in which an instance learns of
-	// servers of another version.
-	settleDelay = 5 * spokeclock.Second
+	// unlistedDelay is the time after which no list of another instance has a server that
+	// takes new requests and that this one's list has no longer.
+	unlistedDelay = 10 * spokeclock.Second
+	// listDelay is the time after an instance has noticed a restore of the table by which its
+	// list has the servers at which streams began before the restore.
+	listDelay = 3 * spokeclock.Second
 	// replaceDelay is the time after which no stream can come back that began without a
 	// record at a base that has been retired: an instance may take the base to be in force
 	// for baseValidity, and the caller of the last stream has maxUnrecordedTime.
@@ -67,7 +70,7 @@
 	switch {
 	case b.row == 0:
 		next.Version, next.Era = mostCommon(versions), b.era
-	case b.record.Era < b.era && (seenFor >= replaceDelay || (seenFor >= settleDelay && b.isOnly(versions, now))):
+	case b.record.Era < b.era && seenFor >= replaceDelay:
 		next.Era = b.era
 	case !b.record.IsRetired && b.absentSince > 0 && now-b.absentSince >= absentDelay:
 		next.IsRetired = true
@@ -102,12 +105,13 @@
 	isBase := b.isKnown && b.record.Version == version
 	isInForce := isBase && !b.record.IsRetired && now-b.readAt <= baseValidity && (b.record.Era == r.EraFunc() || b.isOnly(versions, now))
 	isOnly := len(versions) == 1 && versions[version] > 0
+	isBaseUnlisted := b.isKnown && b.absentSince > 0 && now-b.absentSince >= unlistedDelay
 	switch {
 	case isInForce && stream.TimeLeft <= maxUnrecordedTime:
 		return recordNone
 	case !hasFailed:
 		return recordFirst
-	case isBase, b.isKnown && versions[b.record.Version] == 0, !b.isKnown && isOnly:
+	case isBase, isBaseUnlisted, !b.isKnown && isOnly:
 		return recordAfterwards
 	default:
 		return recordFirst
--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -60,8 +60,9 @@
 	bases map[string]*base
 	// known are streams that this process has begun or found.
 	known map[string]knownStream
-	// era is the table's era at the last check.
-	era spoketable.Era
+	// era is the table's era at the last check, and eraSeenAt when it was first seen.
+	era       spoketable.Era
+	eraSeenAt spokeclock.Millis
 	// hasFailed is whether the last write has failed and no read has succeeded since.
 	hasFailed bool
 	probedAt  spokeclock.Millis
@@ -190,7 +191,7 @@
 	}
 	b := r.baseOf(stream.Service)
 	b.record = rec
-	if rec.Era < row.Era && !b.isOnly(r.VersionsFunc(stream.Service), r.Clock.Now()) {
+	if rec.Era < row.Era && !(r.isListCurrent(row.Era) && b.isOnly(r.VersionsFunc(stream.Service), r.Clock.Now())) {
 		return "", spokeerror.Newf("find origin", KindUnknown, "the table was restored, and may have lost the record")
 	}
 	return rec.Version, nil
@@ -275,10 +276,19 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	isRestored := r.era > 0 && era > r.era
-	r.era = era
+	if era > r.era {
+		r.era, r.eraSeenAt = era, r.Clock.Now()
+	}
 	return isRestored
 }
 
+// isListCurrent reports whether the list of servers has those of the time before an era.
+func (r *Records) isListCurrent(era spoketable.Era) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.era == era && r.Clock.Now()-r.eraSeenAt >= listDelay
+}
+
 // recordKnown records the streams that this process knows, of services whose streams can't be
 // told by their base, as a restore of the table may have removed their records.
 func (r *Records) recordKnown() {
