origin: a test of two instances that change a base at the same moment

The second of two instances could overwrite the base of the first, whose streams may have begun without a record.

--- a/spokeorigin/records_test.go
+++ b/spokeorigin/records_test.go
@@ -50,14 +50,16 @@
 	// Restart lets a process go on that has just started.
 	Restart bool `yaml:"restart"`
 	// StoredBase is a base that another process has written, by default in the present era.
-	StoredBase     string           `yaml:"stored_base"`
-	StoredEra      spoketable.Era   `yaml:"stored_era"`
-	WantStoredBase string           `yaml:"want_stored_base"`
-	WantBase       string           `yaml:"want_base"`
-	Want           string           `yaml:"want"`
-	WantError      spokeorigin.Kind `yaml:"want_error"`
-	Records        *int             `yaml:"records"`
-	Preferred      *string          `yaml:"preferred"`
+	StoredBase string         `yaml:"stored_base"`
+	StoredEra  spoketable.Era `yaml:"stored_era"`
+	// StoredAfterRead is a base that another process writes right after the next read.
+	StoredAfterRead string           `yaml:"stored_after_read"`
+	WantStoredBase  string           `yaml:"want_stored_base"`
+	WantBase        string           `yaml:"want_base"`
+	Want            string           `yaml:"want"`
+	WantError       spokeorigin.Kind `yaml:"want_error"`
+	Records         *int             `yaml:"records"`
+	Preferred       *string          `yaml:"preferred"`
 }
 
 type originCase struct {
@@ -84,6 +86,8 @@
 	era      spoketable.Era
 	records  *spokeorigin.Records
 	base     string
+	// storedAfterRead is a base that another process writes after the next read.
+	storedAfterRead string
 }
 
 func newOriginSimulation(t *testing.T) *originSimulation {
@@ -115,6 +119,10 @@
 		row.Key, row.Era = key, s.era
 		rows = append(rows, row)
 	}
+	if version := s.storedAfterRead; version != "" {
+		s.storedAfterRead = ""
+		s.storeBase(version, 0)
+	}
 	return rows, nil
 }
 
@@ -169,13 +177,18 @@
 		s.start()
 	}
 	if step.StoredBase != "" {
-		era := s.era
-		if step.StoredEra > 0 {
-			era = step.StoredEra
-		}
-		s.version++
-		s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: fmt.Appendf(nil, `{"software_version":%q,"era":%d}`, step.StoredBase, era), Version: s.version}
+		s.storeBase(step.StoredBase, step.StoredEra)
+	}
+	s.storedAfterRead = step.StoredAfterRead
+}
+
+// storeBase writes a base as another process does, by default in the present era.
+func (s *originSimulation) storeBase(version string, era spoketable.Era) {
+	if era == 0 {
+		era = s.era
 	}
+	s.version++
+	s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: fmt.Appendf(nil, `{"software_version":%q,"era":%d}`, version, era), Version: s.version}
 }
 
 // check begins or finds a stream.
