origin: callers that name no attempt go on while servers have one version

Cause: a missing Resumes was taken for an unknown version, whatever the servers' versions.

Change: without an attempt a stream goes on at the base while neither the base's row nor the list of servers tells of another version, or has for 40 s. Whoever changes bases marks the row while there are several versions, so that an instance whose list is behind, or that has just started, refuses; the mark also guards streams without a record right after a restore.

TestOrigins, "a caller that names no attempt": refused before, goes on now, and is refused beside a second version and for 40 s after it; "... at a process whose list is behind".

--- a/spokeorigin/base.go
+++ b/spokeorigin/base.go
@@ -57,8 +57,8 @@
 	otherSeenAt spokeclock.Millis
 }
 
-// isOnly reports whether all servers have had the version for as long as a stream can be
-// resumed, so that no record of a stream can be missing.
+// isOnly reports whether, by this process's list, all servers have had the version for as long
+// as a stream can be resumed.
 func (b base) isOnly(versions map[string]int, now spokeclock.Millis) bool {
 	return len(versions) == 1 && versions[b.record.Version] > 0 && (b.otherSeenAt == 0 || now-b.otherSeenAt >= replaceDelay)
 }
@@ -69,11 +69,15 @@
 	next.Changes++
 	switch {
 	case b.row == 0:
-		next.Version, next.Era = mostCommon(versions), b.era
+		next.Version, next.Era, next.IsMixed = mostCommon(versions), b.era, len(versions) > 1
 	case b.record.Era < b.era && seenFor >= replaceDelay:
-		next.Era = b.era
+		next.Era, next.IsMixed = b.era, b.record.IsMixed && !b.isOnly(versions, now)
 	case !b.record.IsRetired && b.absentSince > 0 && now-b.absentSince >= absentDelay:
-		next.IsRetired = true
+		next.IsRetired, next.IsMixed = true, true
+	case !b.record.IsMixed && b.otherSeenAt > 0 && now-b.otherSeenAt < readInterval:
+		next.IsMixed = true
+	case b.record.IsMixed && seenFor >= replaceDelay && b.isOnly(versions, now):
+		next.IsMixed = false
 	case b.record.IsRetired && versions[b.record.Version] > 0:
 		next.IsRetired = false
 	case b.record.IsRetired && seenFor >= replaceDelay:
--- a/spokeorigin/model_test.go
+++ b/spokeorigin/model_test.go
@@ -34,6 +34,9 @@
 	// that has just started or come back notices a restore.
 	oneVersionTime = 100 * spokeclock.Second
 	noticeTime     = 5 * spokeclock.Second
+	// mixTime is the time in which a process that changes bases notes that there are servers
+	// of several versions.
+	mixTime = maxAbsence + maxListAge + 5*spokeclock.Second
 )
 
 // TestOriginsModel lets several instances begin and resume streams over one table, while
@@ -46,7 +49,7 @@
 		m := newOriginModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"advance": m.advance, "advance again": m.advance, "release": m.release, "absent": m.makeAbsent, "restart": m.restart,
-			"cut": m.cutFromTable, "restore": m.restore, "begin": m.begin, "begin again": m.begin, "resume": m.resume, "resume again": m.resume,
+			"cut": m.cutFromTable, "restore": m.restore, "begin": m.begin, "begin again": m.begin, "resume": m.resume, "resume again": m.resume, "resume unnamed": m.resumeUnnamed,
 		})
 	})
 }
@@ -290,3 +293,16 @@
 func (m *originModel) isOneVersion() bool {
 	return len(m.versions) == 1 && m.now()-m.releasedAt >= oneVersionTime
 }
+
+// resumeUnnamed resumes a stream at any instance without naming the attempt that began it.
+func (m *originModel) resumeUnnamed(t *rapid.T) {
+	m.streams = slices.DeleteFunc(m.streams, func(s modelStream) bool { return m.now() >= s.deadline })
+	if len(m.streams) == 0 || m.now()-m.releasedAt < mixTime {
+		return
+	}
+	i, s := m.anInstance(t), m.streams[rapid.IntRange(0, len(m.streams)-1).Draw(t, "stream")]
+	version, err := i.records.Find(context.Background(), spokeorigin.Stream{Service: service})
+	if _, exists := m.versions[version]; err == nil && version != s.version && exists && i.versions[version] > 0 {
+		t.Fatalf("stream %s of %s goes on at %s", s.ID, s.version, version)
+	}
+}
--- a/spokeorigin/record.go
+++ b/spokeorigin/record.go
@@ -59,6 +59,9 @@
 	// IsRetired is whether all new streams have to be recorded. Those without a record
 	// are still of this version.
 	IsRetired bool `json:"is_retired,omitempty"`
+	// IsMixed is whether servers of other versions are known, or were while their streams
+	// may still be resumed.
+	IsMixed bool `json:"is_mixed,omitempty"`
 	// Changes counts the changes of the base, so that the later of two rows is known
 	// after a restore of the table.
 	Changes int64 `json:"changes,omitempty"`
--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -142,8 +142,11 @@
 // Find returns the version at which a stream began. Its errors are of KindUnknown or
 // KindUnavailable.
 func (r *Records) Find(ctx context.Context, stream Stream) (string, error) {
+	if stream.ID == "" {
+		return r.unnamedVersion(ctx, stream.Service)
+	}
 	if !stream.hasValidID() {
-		return "", spokeerror.Newf("find origin", KindUnknown, "the caller names no attempt")
+		return "", spokeerror.Newf("find origin", KindUnknown, "the caller names no attempt that can be")
 	}
 	r.mutex.Lock()
 	known, isKnown := r.known[stream.ID]
@@ -180,21 +183,53 @@
 // after the record was looked for, as the one that this process knows may be an earlier one,
 // and streams may have begun without a record since it was replaced.
 func (r *Records) unrecordedVersion(ctx context.Context, stream Stream, readIn spoketable.Era) (string, error) {
-	row, rec, err := r.readBase(ctx, stream.Service)
+	row, rec, err := r.findBase(ctx, stream.Service)
 	switch {
 	case err != nil:
-		return "", spokeerror.New("find origin", KindUnavailable, err)
-	case row.Version == 0:
-		return "", spokeerror.Newf("find origin", KindUnknown, "the service has no base yet")
+		return "", err
 	case row.Era != readIn:
 		return "", spokeerror.Newf("find origin", KindUnavailable, "the table was restored between two reads")
-	}
-	b := r.baseOf(stream.Service)
-	b.record = rec
-	if rec.Era < row.Era && !(r.isListCurrent(row.Era) && b.isOnly(r.VersionsFunc(stream.Service), r.Clock.Now())) {
+	case rec.Era < row.Era && !r.isOnlyVersion(stream.Service, row, rec):
 		return "", spokeerror.Newf("find origin", KindUnknown, "the table was restored, and may have lost the record")
+	default:
+		return rec.Version, nil
+	}
+}
+
+// unnamedVersion returns the version of a stream of which the caller doesn't tell the attempt
+// that began it, while all streams that may be resumed are of one version.
+func (r *Records) unnamedVersion(ctx context.Context, service string) (string, error) {
+	row, rec, err := r.findBase(ctx, service)
+	switch {
+	case err != nil:
+		return "", err
+	case rec.IsRetired || !r.isOnlyVersion(service, row, rec):
+		return "", spokeerror.Newf("find origin", KindUnknown, "the caller names no attempt, and servers have several versions")
+	default:
+		return rec.Version, nil
 	}
-	return rec.Version, nil
+}
+
+// findBase reads the base of a service. Its errors are those of Find.
+func (r *Records) findBase(ctx context.Context, service string) (spoketable.Row, baseRecord, error) {
+	row, rec, err := r.readBase(ctx, service)
+	switch {
+	case err != nil:
+		return row, rec, spokeerror.New("find origin", KindUnavailable, err)
+	case row.Version == 0:
+		return row, rec, spokeerror.Newf("find origin", KindUnknown, "the service has no base yet")
+	default:
+		return row, rec, nil
+	}
+}
+
+// isOnlyVersion reports whether all streams that may be resumed are of a base: neither its row
+// nor the list of this process tells of servers of other versions.
+func (r *Records) isOnlyVersion(service string, row spoketable.Row, rec baseRecord) bool {
+	b := r.baseOf(service)
+	b.record = rec
+	isCurrent := rec.Era == row.Era || r.isListCurrent(row.Era)
+	return isCurrent && !rec.IsMixed && b.isOnly(r.VersionsFunc(service), r.Clock.Now())
 }
 
 // PreferredVersion returns the version at which new streams of a service should begin as
--- a/spokeorigin/records_test.go
+++ b/spokeorigin/records_test.go
@@ -50,8 +50,9 @@
 	// Restart lets a process go on that has just started.
 	Restart bool `yaml:"restart"`
 	// StoredBase is a base that another process has written, by default in the present era.
-	StoredBase string         `yaml:"stored_base"`
-	StoredEra  spoketable.Era `yaml:"stored_era"`
+	StoredBase    string         `yaml:"stored_base"`
+	StoredEra     spoketable.Era `yaml:"stored_era"`
+	StoredIsMixed bool           `yaml:"stored_is_mixed"`
 	// StoredAfterRead is a base that another process writes right after the next read.
 	StoredAfterRead string           `yaml:"stored_after_read"`
 	WantStoredBase  string           `yaml:"want_stored_base"`
@@ -121,7 +122,7 @@
 	}
 	if version := s.storedAfterRead; version != "" {
 		s.storedAfterRead = ""
-		s.storeBase(version, 0)
+		s.storeBase(version, 0, false)
 	}
 	return rows, nil
 }
@@ -177,18 +178,18 @@
 		s.start()
 	}
 	if step.StoredBase != "" {
-		s.storeBase(step.StoredBase, step.StoredEra)
+		s.storeBase(step.StoredBase, step.StoredEra, step.StoredIsMixed)
 	}
 	s.storedAfterRead = step.StoredAfterRead
 }
 
 // storeBase writes a base as another process does, by default in the present era.
-func (s *originSimulation) storeBase(version string, era spoketable.Era) {
+func (s *originSimulation) storeBase(version string, era spoketable.Era, isMixed bool) {
 	if era == 0 {
 		era = s.era
 	}
 	s.version++
-	s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: fmt.Appendf(nil, `{"software_version":%q,"era":%d}`, version, era), Version: s.version}
+	s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: fmt.Appendf(nil, `{"software_version":%q,"era":%d,"is_mixed":%t}`, version, era, isMixed), Version: s.version}
 }
 
 // check begins or finds a stream.
