origin: a base that can't be decoded doesn't count as the table being away

Now only a read without a row counts; the base in memory stays in force for its 20 s, after which all streams are recorded, and the row is logged.

TestOrigins, "a base that can't be decoded": the base was preferred before, nothing is now.

--- a/spokeorigin/base.go
+++ b/spokeorigin/base.go
@@ -190,13 +190,16 @@
 	})
 }
 
-// refreshBase reads the base of a service. It returns false if the table doesn't answer.
+// refreshBase reads the base of a service. It returns false if it could not be read.
 func (r *Records) refreshBase(ctx context.Context, service string) bool {
 	started := max(1, r.Clock.Now())
 	r.updateBase(service, func(b *base) { b.triedAt = started })
 	row, rec, err := r.readBase(ctx, service)
-	r.recordAnswer(err)
+	if row.Version == 0 {
+		r.recordAnswer(err)
+	}
 	if err != nil {
+		r.Log.Warn().Err(err).Str("service", service).Msg("Version whose streams need no record could not be read.")
 		return false
 	}
 	if b := r.baseOf(service); b.isKnown && row.Era > b.era && b.record.Changes > rec.Changes {
@@ -208,7 +211,8 @@
 	return true
 }
 
-// readBase returns the row of a service's base, which has version zero if there is none.
+// readBase returns the row of a service's base, which has version zero if there is none or it
+// could not be read.
 func (r *Records) readBase(ctx context.Context, service string) (spoketable.Row, baseRecord, error) {
 	rows, err := r.Bases.ReadFunc(ctx, baseKeyPrefix+service)
 	if err != nil {
--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -146,7 +146,7 @@
 		return r.unnamedVersion(ctx, stream.Service)
 	}
 	if !stream.hasValidID() {
-		return "", spokeerror.Newf("find origin", KindUnknown, "the caller names no attempt that can be")
+		return "", spokeerror.Newf("find origin", KindUnknown, "the caller names no valid attempt")
 	}
 	r.mutex.Lock()
 	known, isKnown := r.known[stream.ID]
--- a/spokeorigin/records_test.go
+++ b/spokeorigin/records_test.go
@@ -50,9 +50,11 @@
 	// Restart lets a process go on that has just started.
 	Restart bool `yaml:"restart"`
 	// StoredBase is a base that another process has written, by default in the present era.
-	StoredBase    string         `yaml:"stored_base"`
-	StoredEra     spoketable.Era `yaml:"stored_era"`
-	StoredIsMixed bool           `yaml:"stored_is_mixed"`
+	StoredBase string         `yaml:"stored_base"`
+	StoredEra  spoketable.Era `yaml:"stored_era"`
+	// OddBase is what another process has written in place of a base.
+	OddBase       string `yaml:"odd_base"`
+	StoredIsMixed bool   `yaml:"stored_is_mixed"`
 	// StoredAfterRead is a base that another process writes right after the next read.
 	StoredAfterRead string           `yaml:"stored_after_read"`
 	WantStoredBase  string           `yaml:"want_stored_base"`
@@ -180,6 +182,10 @@
 	if step.StoredBase != "" {
 		s.storeBase(step.StoredBase, step.StoredEra, step.StoredIsMixed)
 	}
+	if step.OddBase != "" {
+		s.version++
+		s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: []byte(step.OddBase), Version: s.version}
+	}
 	s.storedAfterRead = step.StoredAfterRead
 }
 
