--- a/spokeorigin/model_test.go
+++ b/spokeorigin/model_test.go
@@ -85,11 +85,10 @@
 }
 
 type originModel struct {
+	memoryTable
+
 	clock       spokeclock.Manual
 	versions    map[string]int
-	rows        map[string]spoketable.Row
-	version     spoketable.Version
-	era         spoketable.Era
 	copies      []modelCopy
 	instances   []*modelInstance
 	streams     []modelStream
@@ -100,7 +99,7 @@
 }
 
 func newOriginModel(t *rapid.T) *originModel {
-	m := &originModel{versions: map[string]int{"v1": 3}, rows: make(map[string]spoketable.Row), era: 1}
+	m := &originModel{versions: map[string]int{"v1": 3}, memoryTable: newMemoryTable()}
 	m.clock.Advance(1)
 	for range modelInstances {
 		i := &modelInstance{}
@@ -117,9 +116,9 @@
 
 func (m *originModel) start(i *modelInstance) {
 	table := spokeorigin.Table{
-		ReadFunc: func(_ context.Context, keys ...string) ([]spoketable.Row, error) { return m.read(i, keys) },
+		ReadFunc: func(_ context.Context, keys ...string) ([]spoketable.Row, error) { return m.readFor(i, keys) },
 		TransactFunc: func(_ context.Context, transaction spoketable.Transaction) (spoketable.Outcome, error) {
-			return m.transact(i, transaction)
+			return m.transactFor(i, transaction)
 		},
 		ScanFunc: func(context.Context) ([]spoketable.Row, error) { return nil, nil },
 	}
@@ -131,35 +130,20 @@
 	}
 }
 
-func (m *originModel) read(i *modelInstance, keys []string) ([]spoketable.Row, error) {
+func (m *originModel) readFor(i *modelInstance, keys []string) ([]spoketable.Row, error) {
 	if m.now() < i.cutUntil {
 		return nil, spokeerror.Newf("read", spoketable.KindUnavailable, "cut off")
 	}
 	i.era = m.era
-	var rows []spoketable.Row
-	for _, key := range keys {
-		row := m.rows[key]
-		row.Key, row.Era = key, m.era
-		rows = append(rows, row)
-	}
-	return rows, nil
+	return m.read(keys), nil
 }
 
-func (m *originModel) transact(i *modelInstance, transaction spoketable.Transaction) (spoketable.Outcome, error) {
+func (m *originModel) transactFor(i *modelInstance, transaction spoketable.Transaction) (spoketable.Outcome, error) {
 	if m.now() < i.cutUntil {
 		return spoketable.Outcome{}, spokeerror.Newf("write", spoketable.KindUnavailable, "cut off")
 	}
 	i.era = m.era
-	for _, c := range transaction.Conditions {
-		if m.rows[c.Key].Version != c.Version {
-			return spoketable.Outcome{}, nil
-		}
-	}
-	m.version++
-	for _, w := range transaction.Writes {
-		m.rows[w.Key] = spoketable.Row{Key: w.Key, Value: w.Value, Version: m.version}
-	}
-	return spoketable.Outcome{Committed: true, Version: m.version, Era: m.era}, nil
+	return m.transact(transaction), nil
 }
 
 // advance lets time pass. Instances that run learn the servers and check their bases.
--- a/spokeorigin/records_test.go
+++ b/spokeorigin/records_test.go
@@ -80,21 +80,51 @@
 
 type originSimulation struct {
 	*testing.T
+	memoryTable
 
 	clock    spokeclock.Manual
-	rows     map[string]spoketable.Row
-	version  spoketable.Version
 	failure  string
 	versions map[string]int
-	era      spoketable.Era
 	records  *spokeorigin.Records
 	base     string
 	// storedAfterRead is a base that another process writes after the next read.
 	storedAfterRead string
 }
 
+// memoryTable is a table in memory.
+type memoryTable struct {
+	rows    map[string]spoketable.Row
+	version spoketable.Version
+	era     spoketable.Era
+}
+
+func newMemoryTable() memoryTable { return memoryTable{rows: make(map[string]spoketable.Row), era: 1} }
+
+func (m *memoryTable) read(keys []string) []spoketable.Row {
+	var rows []spoketable.Row
+	for _, key := range keys {
+		row := m.rows[key]
+		row.Key, row.Era = key, m.era
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func (m *memoryTable) transact(t spoketable.Transaction) spoketable.Outcome {
+	for _, c := range t.Conditions {
+		if m.rows[c.Key].Version != c.Version {
+			return spoketable.Outcome{}
+		}
+	}
+	m.version++
+	for _, w := range t.Writes {
+		m.rows[w.Key] = spoketable.Row{Key: w.Key, Value: w.Value, Version: m.version}
+	}
+	return spoketable.Outcome{Committed: true, Version: m.version, Era: m.era}
+}
+
 func newOriginSimulation(t *testing.T) *originSimulation {
-	s := &originSimulation{T: t, rows: make(map[string]spoketable.Row), era: 1}
+	s := &originSimulation{T: t, memoryTable: newMemoryTable()}
 	s.clock.Advance(1)
 	s.start()
 	return s
@@ -102,7 +132,7 @@
 
 // start starts a process that knows nothing.
 func (s *originSimulation) start() {
-	table := spokeorigin.Table{ReadFunc: s.read, TransactFunc: s.transact, ScanFunc: func(context.Context) ([]spoketable.Row, error) { return nil, nil }}
+	table := spokeorigin.Table{ReadFunc: s.readTable, TransactFunc: s.transactTable, ScanFunc: func(context.Context) ([]spoketable.Row, error) { return nil, nil }}
 	s.base = "-"
 	s.records = &spokeorigin.Records{
 		Bases: table, Shards: []spokeorigin.Table{table}, Clock: s.clock.Clock(), Log: zerolog.Nop(),
@@ -112,16 +142,11 @@
 	}
 }
 
-func (s *originSimulation) read(_ context.Context, keys ...string) ([]spoketable.Row, error) {
+func (s *originSimulation) readTable(_ context.Context, keys ...string) ([]spoketable.Row, error) {
 	if s.failure != "" {
 		return nil, spokeerror.Newf("read", spoketable.KindUnavailable, "away")
 	}
-	var rows []spoketable.Row
-	for _, key := range keys {
-		row := s.rows[key]
-		row.Key, row.Era = key, s.era
-		rows = append(rows, row)
-	}
+	rows := s.read(keys)
 	if version := s.storedAfterRead; version != "" {
 		s.storedAfterRead = ""
 		s.storeBase(version, 0, false)
@@ -129,23 +154,14 @@
 	return rows, nil
 }
 
-func (s *originSimulation) transact(_ context.Context, t spoketable.Transaction) (spoketable.Outcome, error) {
+func (s *originSimulation) transactTable(_ context.Context, t spoketable.Transaction) (spoketable.Outcome, error) {
 	switch s.failure {
 	case "unavailable":
 		return spoketable.Outcome{}, spokeerror.Newf("write", spoketable.KindUnavailable, "away")
 	case "unknown":
 		return spoketable.Outcome{}, spokeerror.Newf("write", spoketable.KindOutcomeUnknown, "no answer")
 	}
-	for _, c := range t.Conditions {
-		if s.rows[c.Key].Version != c.Version {
-			return spoketable.Outcome{}, nil
-		}
-	}
-	s.version++
-	for _, w := range t.Writes {
-		s.rows[w.Key] = spoketable.Row{Key: w.Key, Value: w.Value, Version: s.version}
-	}
-	return spoketable.Outcome{Committed: true, Version: s.version, Era: s.era}, nil
+	return s.transact(t), nil
 }
 
 func (s *originSimulation) run(steps []originStep) {
