core: a stream leaves its silent server again although no other one is free

The change let a stream stay at its only server, which is right for one that pauses and wrong for one that has stalled.

--- a/spokecore/move.go
+++ b/spokecore/move.go
@@ -90,17 +90,6 @@
 	return r.service.retryBudget.AllowRetry()
 }
 
-// isServerLost reports whether a server is not listed any more, or is suspended as it has
-// failed.
-func (r *requestRun) isServerLost(name string) bool {
-	for _, c := range r.core.Registry.Candidates(r.request.Service.Name, "") {
-		if c.Name == name {
-			return c.Suspended
-		}
-	}
-	return true
-}
-
 // hasFreeServer reports whether a server other than the current one could run
 // the request immediately.
 func (r *requestRun) hasFreeServer(current string) bool {
--- a/spokecore/watchdog.go
+++ b/spokecore/watchdog.go
@@ -22,9 +22,6 @@
 	// queuedFactor is the number of first-event limits that a request may stay
 	// queued at its server while every other server is full too.
 	queuedFactor = 4
-	// freeServerInterval is the time between two checks whether a server has become free for a
-	// stream whose server is silent.
-	freeServerInterval = 200 * spokeclock.Millis(1)
 	// minCheckInterval bounds the cost of checking silent servers.
 	minCheckInterval = 10 * spokeclock.Millis(1)
 )
@@ -38,7 +35,6 @@
 	cancel            context.CancelCauseFunc
 	allowMoveFunc     func() bool
 	hasFreeServerFunc func() bool
-	isServerLostFunc  func() bool
 	limits            SilenceLimits
 
 	mutex       sync.Mutex
@@ -57,7 +53,6 @@
 		clock: r.core.Clock, attempt: attempt, cancel: cancel, silentSince: r.core.Clock.Now(), awaitsFirst: true, limits: r.silenceLimits(),
 		allowMoveFunc:     func() bool { return r.canRunAgain() && r.service.retryBudget.AllowRetry() },
 		hasFreeServerFunc: func() bool { return r.hasFreeServer(attempt.Instance().Name) },
-		isServerLostFunc:  func() bool { return r.isServerLost(attempt.Instance().Name) },
 	}
 	if w.limits.FirstEvent == 0 {
 		w.stopped = true
@@ -134,21 +129,14 @@
 	if !w.awaitsFirst && w.limits.SlowGap > 0 && silence >= w.limits.SlowGap {
 		w.attempt.RecordStall()
 	}
-	next := w.untilNextCheck(silence)
-	switch {
-	case silence < w.silenceLimit():
-	case w.mustStay(silence):
-		if !w.awaitsFirst {
-			next = min(next, freeServerInterval)
-		}
-	default:
+	if silence >= w.silenceLimit() && !w.mayBeQueued(silence) {
 		w.attempt.RecordStall()
 		if w.allowMoveFunc() {
 			w.cancel(errServerSilent)
 			return
 		}
 	}
-	w.timer.Reset(next.Duration())
+	w.timer.Reset(w.untilNextCheck(silence).Duration())
 }
 
 func (w *watchdog) silenceLimit() spokeclock.Millis {
@@ -158,14 +146,11 @@
 	return w.limits.EventGap
 }
 
-// mustStay reports whether the request stays at its silent server as every other one is full
-// too. Without an answer it may still be queued, and would only lose its position in the
-// queue; a stream that has begun would break off.
-func (w *watchdog) mustStay(silence spokeclock.Millis) bool {
-	if w.awaitsFirst {
-		return silence < queuedFactor*w.limits.FirstEvent && !w.hasFreeServerFunc()
-	}
-	return !w.isServerLostFunc() && !w.hasFreeServerFunc()
+// mayBeQueued reports whether a request without an answer may still be queued at
+// its server. If every other server is full too, moving the request would only
+// lose its position in the queue.
+func (w *watchdog) mayBeQueued(silence spokeclock.Millis) bool {
+	return w.awaitsFirst && silence < queuedFactor*w.limits.FirstEvent && !w.hasFreeServerFunc()
 }
 
 // untilNextCheck returns the time until the next check, given the silence so far.
