--- a/spokeorigin/model_test.go
+++ b/spokeorigin/model_test.go
@@ -246,19 +246,16 @@
 
 // resume resumes a stream at any instance.
 func (m *originModel) resume(t *rapid.T) {
-	m.streams = slices.DeleteFunc(m.streams, func(s modelStream) bool { return m.now() >= s.deadline })
-	if len(m.streams) == 0 {
+	if !m.hasStreams() {
 		return
 	}
-	i, s := m.anInstance(t), m.streams[rapid.IntRange(0, len(m.streams)-1).Draw(t, "stream")]
+	i, s := m.anInstance(t), m.aStream(t)
 	s.TimeLeft = s.deadline - m.now()
 	version, err := i.records.Find(context.Background(), s.Stream)
 	if m.isForgotten(i, s) || (s.rollback > 0 && m.releases >= s.rollback) {
 		return
 	}
-	if _, exists := m.versions[version]; err == nil && version != s.version && exists && i.versions[version] > 0 {
-		t.Fatalf("stream %s of %s goes on at %s", s.ID, s.version, version)
-	}
+	m.checkVersion(t, i, s, version, err)
 	mustGoOn := m.now()-m.disturbedAt >= calmTime || (m.isOneVersion() && m.now() >= max(i.cutUntil, i.absentUntil, m.disturbedAt)+noticeTime)
 	if err != nil && mustGoOn {
 		t.Fatalf("stream %s of %s is refused: %v", s.ID, s.version, err)
@@ -280,12 +277,26 @@
 
 // resumeUnnamed resumes a stream at any instance without naming the attempt that began it.
 func (m *originModel) resumeUnnamed(t *rapid.T) {
-	m.streams = slices.DeleteFunc(m.streams, func(s modelStream) bool { return m.now() >= s.deadline })
-	if len(m.streams) == 0 || m.now()-m.releasedAt < mixTime {
+	if !m.hasStreams() || m.now()-m.releasedAt < mixTime {
 		return
 	}
-	i, s := m.anInstance(t), m.streams[rapid.IntRange(0, len(m.streams)-1).Draw(t, "stream")]
+	i, s := m.anInstance(t), m.aStream(t)
 	version, err := i.records.Find(context.Background(), spokeorigin.Stream{Service: service})
+	m.checkVersion(t, i, s, version, err)
+}
+
+// hasStreams reports whether there are streams whose callers still have time.
+func (m *originModel) hasStreams() bool {
+	m.streams = slices.DeleteFunc(m.streams, func(s modelStream) bool { return m.now() >= s.deadline })
+	return len(m.streams) > 0
+}
+
+func (m *originModel) aStream(t *rapid.T) modelStream {
+	return m.streams[rapid.IntRange(0, len(m.streams)-1).Draw(t, "stream")]
+}
+
+// checkVersion fails if an instance lets a stream go on at a server of another version.
+func (m *originModel) checkVersion(t *rapid.T, i *modelInstance, s modelStream, version string, err error) {
 	if _, exists := m.versions[version]; err == nil && version != s.version && exists && i.versions[version] > 0 {
 		t.Fatalf("stream %s of %s goes on at %s", s.ID, s.version, version)
 	}
