check: a configuration is examined before it is applied

Cause: apply refuses a declaration at its first invalid field and accepts ones whose entries no request can match or whose limits contradict each other. Validation keeps all problems; Validate still returns the first. Conclusion: nothing changes for apply.

--- a/cmd/mulberryspoke/main.go
+++ b/cmd/mulberryspoke/main.go
@@ -25,9 +25,12 @@
 // exitCode prints an error and returns the exit code.
 func exitCode(err error) int {
 	var usage *flags.Error
+	var code exitCodeError
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &code):
+		return int(code)
 	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
 		fmt.Println(usage.Message)
 		return 0
@@ -51,6 +54,7 @@
 	add("demo", "Run a whole deployment with stand-ins in one process", &demoCommand{})
 	add("apply", "Put a declaration in force", &applyCommand{})
 	add("diff", "Compare a declaration with the one in force", &diffCommand{})
+	add("check", "Examine a configuration without applying it", &checkCommand{})
 	add("get", "Print the declaration in force", &getCommand{})
 	add("query", "Query the state of the deployment", &queryCommand{})
 	add("drain", "Send an instance no new requests", &markCommand{mark: "drain"})
--- a/spokeconfig/validate.go
+++ b/spokeconfig/validate.go
@@ -47,14 +47,24 @@
 // Parse decodes a declaration from YAML and validates it. It returns an error of
 // kind KindInvalid that names the field, the value and the allowed values.
 func Parse(text []byte) (Declaration, error) {
+	declaration, err := Decode(text)
+	if err != nil {
+		return Declaration{}, err
+	}
+	if err := declaration.Validate(); err != nil {
+		return Declaration{}, err
+	}
+	return declaration, nil
+}
+
+// Decode decodes a declaration from YAML without validating it. It returns an error of
+// kind KindInvalid with the line if the text is malformed or has an unknown field.
+func Decode(text []byte) (Declaration, error) {
 	var declaration Declaration
 	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField())
 	if err := decoder.Decode(&declaration); err != nil {
 		return Declaration{}, spokeerror.Newf("parse declaration", KindInvalid, "%s", yaml.FormatError(err, false, false))
 	}
-	if err := declaration.Validate(); err != nil {
-		return Declaration{}, err
-	}
 	return declaration, nil
 }
 
@@ -69,6 +79,29 @@
 
 // Validate returns an error of kind KindInvalid for the first invalid field.
 func (d *Declaration) Validate() error {
+	problems := d.Problems()
+	if len(problems) == 0 {
+		return nil
+	}
+	return spokeerror.Newf("check declaration", KindInvalid, "%s", problems[0])
+}
+
+// Problem is an invalid field of a declaration.
+type Problem struct {
+	field, text string
+}
+
+// Field returns the path of the field, with dots between its parts.
+func (p Problem) Field() string { return p.field }
+
+// Text returns the value of the field and what is allowed.
+func (p Problem) Text() string { return p.text }
+
+// String returns the field, its value and what is allowed.
+func (p Problem) String() string { return p.field + " " + p.text }
+
+// Problems returns all invalid fields, in the order of the format.
+func (d *Declaration) Problems() []Problem {
 	v := &validator{}
 	v.expect(d.Version == formatVersion, "version", d.Version, "1")
 	v.expect(len(d.DataCentres) > 0, "data_centres", "empty", "at least one data centre")
@@ -79,22 +112,18 @@
 	v.validatePrices(d)
 	v.validateCallerRoutes(d)
 	v.validateLimits(d.Limits)
-	if v.firstProblem == "" {
-		return nil
-	}
-	return spokeerror.Newf("check declaration", KindInvalid, "%s", v.firstProblem)
+	return v.problems
 }
 
-// validator keeps the first problem found.
+// validator collects the problems found.
 type validator struct {
-	firstProblem string
+	problems []Problem
 }
 
 func (v *validator) expect(ok bool, field string, value any, allowed string) {
-	if ok || v.firstProblem != "" {
-		return
+	if !ok {
+		v.problems = append(v.problems, Problem{field: field, text: fmt.Sprintf("is %v; allowed: %s", value, allowed)})
 	}
-	v.firstProblem = fmt.Sprintf("%s is %v; allowed: %s", field, value, allowed)
 }
 
 func (v *validator) validateNames(field string, names []string) {
