spokememory: a budget of bytes and a bound on connections

Change: Budget charges bytes as they arrive, in segments, over all requests. A quarter of it is a reserve for small requests, a workspace holds at most half while others send, and bodies that have stalled for 2 s lose their bytes when they are needed; those below 4 KB/s after 10 s in any case. ConnectionLimit bounds connections and closes idle ones first, then silent ones, late headers and callers that do not read. DeriveLimits gives the bounds for an instance's memory and descriptors, Guard the metrics and log lines.

Segments of bodies that were not read to their end are used again.

Conclusion: no product code uses the package yet.

--- /dev/null
+++ b/spokememory/guard.go
@@ -0,0 +1,138 @@
+package spokememory
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+)
+
+const (
+	// budgetShare is the part of the memory that callers' bytes may take. The garbage
+	// collector needs about the same again, and the program, its connections and its own
+	// calls the rest.
+	budgetShare = 0.25
+	// connectionShare is the part of the memory that callers' connections may take, and
+	// connectionBytes what one takes in this process: goroutines and buffers.
+	connectionShare = 0.25
+	connectionBytes = 40 << 10
+	// fileReserve is the number of descriptors that are kept for files.
+	fileReserve = 200
+	// maxOwnReserve is the number of descriptors for peers (up to 160 links in each
+	// direction) and the table. Of few descriptors, it is ownReserveShare of them.
+	maxOwnReserve   = 384
+	ownReserveShare = 0.25
+	// callerDescriptorShare is the part of the remaining descriptors for callers. Each
+	// request may take a connection to a backend server too, and idle ones are kept.
+	callerDescriptorShare = 0.4
+	// sweepInterval is the time between two checks for slow bodies.
+	sweepInterval = spokeclock.Second
+	// logLinesPerSecond bounds the log lines of this package.
+	logLinesPerSecond = 5
+)
+
+// Limits are the bounds of a process.
+type Limits struct {
+	// BudgetBytes bounds what callers' requests hold. Zero means no bound.
+	BudgetBytes int64
+	// Connections bounds callers' connections. Zero means no bound.
+	Connections int
+}
+
+// DeriveLimits returns the bounds for a process that may use memoryBytes and
+// descriptors. Zero means that a resource isn't limited.
+func DeriveLimits(memoryBytes int64, descriptors int) Limits {
+	limits := Limits{BudgetBytes: int64(budgetShare * float64(memoryBytes))}
+	if memoryBytes > 0 {
+		limits.Connections = max(1, int(connectionShare*float64(memoryBytes)/connectionBytes))
+	}
+	if descriptors <= 0 {
+		return limits
+	}
+	free := float64(max(0, descriptors-fileReserve))
+	own := min(maxOwnReserve, ownReserveShare*free)
+	byDescriptors := max(1, int(callerDescriptorShare*(free-own)))
+	if limits.Connections == 0 || byDescriptors < limits.Connections {
+		limits.Connections = byDescriptors
+	}
+	return limits
+}
+
+// Guard is the bounds of a process with their metrics and log lines.
+type Guard struct {
+	// Budget bounds the bytes.
+	Budget *Budget
+	// Connections bounds the connections.
+	Connections *ConnectionLimit
+
+	set *metrics.Set
+	log zerolog.Logger
+	// lines bounds the log lines, and suppressedCount counts those left out since the last
+	// one.
+	lines           *rate.Limiter
+	suppressedCount atomic.Int64
+	counters        map[string]*metrics.Counter
+}
+
+// NewGuard returns the bounds of a process, which are counted in a set of metrics.
+func NewGuard(limits Limits, set *metrics.Set, log zerolog.Logger) *Guard {
+	g := &Guard{set: set, log: log, lines: rate.NewLimiter(logLinesPerSecond, logLinesPerSecond), counters: make(map[string]*metrics.Counter)}
+	g.Budget = &Budget{Limit: limits.BudgetBytes, DecidedFunc: g.recordDecision}
+	g.Connections = &ConnectionLimit{Limit: limits.Connections, Budget: g.Budget, ClosedFunc: g.recordClosed}
+	set.NewGauge("spoke_memory_held_bytes", func() float64 { return float64(g.Budget.Held()) })
+	set.NewGauge("spoke_memory_budget_bytes", func() float64 { return float64(limits.BudgetBytes) })
+	set.NewGauge("spoke_caller_connections", func() float64 { return float64(g.Connections.Count()) })
+	for _, kind := range []Kind{KindFull, KindWorkspaceShare, KindEvicted, KindAnswer} {
+		g.addCounter(refusalMetric(kind))
+	}
+	for _, reason := range []CloseReason{CloseIdle, CloseSilent, CloseSlowHeaders, CloseNotRead, CloseNoPlace, CloseHeaders} {
+		g.addCounter(closeMetric(reason))
+	}
+	return g
+}
+
+func refusalMetric(kind Kind) string {
+	return `spoke_memory_refused_total{reason="` + string(kind) + `"}`
+}
+
+func closeMetric(reason CloseReason) string {
+	return `spoke_connections_closed_total{reason="` + string(reason) + `"}`
+}
+
+func (g *Guard) addCounter(name string) { g.counters[name] = g.set.NewCounter(name) }
+
+// Run evicts slow bodies until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	spokeclock.Every(ctx, sweepInterval, g.Budget.EvictSlow)
+}
+
+func (g *Guard) recordDecision(d Decision) {
+	g.counters[refusalMetric(d.Kind())].Inc()
+	event, mayLog := g.logEvent()
+	if !mayLog {
+		return
+	}
+	event.Str("reason", string(d.Kind())).Str("workspace", d.Workspace()).Int64("held", d.Held()).Int64("budget", g.Budget.Limit).Int64("bytes", d.Requested()).Int64("age_millis", int64(d.Age())).Msg("Bytes of a caller's request were refused.")
+}
+
+func (g *Guard) recordClosed(c ClosedConnection) {
+	g.counters[closeMetric(c.Reason())].Inc()
+	event, mayLog := g.logEvent()
+	if !mayLog {
+		return
+	}
+	event.Str("reason", string(c.Reason())).Int("connections", c.Count()).Int("limit", g.Connections.Limit).Int64("age_millis", int64(c.Age())).Msg("Connection of a caller was closed.")
+}
+
+// logEvent returns a log line, or false if there were too many.
+func (g *Guard) logEvent() (*zerolog.Event, bool) {
+	if !g.lines.Allow() {
+		g.suppressedCount.Add(1)
+		return nil, false
+	}
+	return g.log.Warn().Int64("suppressed", g.suppressedCount.Swap(0)), true
+}
