--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -16,6 +16,10 @@
 const maxBufferedAnswer = 256 << 10
 
 const (
+	// firstAnswerBuffer is the first size of an answer's buffer.
+	firstAnswerBuffer = 512
+	// freeAnswerBuffer is the size up to which an answer may be buffered in any case.
+	freeAnswerBuffer = 4 << 10
 	// maxAnswerBytes bounds an answer that is not an event stream, as a faulty
 	// server may send bytes without end.
 	maxAnswerBytes = 64 << 20
@@ -25,7 +29,7 @@
 
 // forwardAnswer forwards an answer that is not an event stream.
 func (r *requestRun) forwardAnswer(ctx context.Context, response *Response, attempt *spokebackend.Attempt, w *watchdog) error {
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
+	buffered, isWhole, err := r.readStart(response.Body)
 	if err != nil {
 		return spokeerror.New("read answer", KindNoAnswer, err)
 	}
@@ -37,7 +41,7 @@
 		return spokeerror.Newf("read answer", KindServerFailureRetried, "the backend server reported a failure")
 	}
 	length := int64(len(buffered))
-	if length > maxBufferedAnswer {
+	if !isWhole {
 		length = -1
 	}
 	if length < 0 && !r.stayAtServer(ctx, w) {
@@ -51,7 +55,39 @@
 	if length >= 0 {
 		return nil
 	}
-	return r.forwardRemainder(response)
+	return r.forwardRemainder(response, buffered)
+}
+
+// readStart reads an answer up to maxBufferedAnswer, or up to what may be held, and reports
+// whether that is the whole answer.
+func (r *requestRun) readStart(body io.Reader) (buffered []byte, isWhole bool, err error) {
+	buffered = make([]byte, 0, firstAnswerBuffer)
+	for {
+		n, err := body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffered, len(buffered) <= maxBufferedAnswer, nil
+		case err != nil:
+			return nil, false, err
+		case len(buffered) < cap(buffered):
+			continue
+		}
+		// One byte more tells whether an answer of the largest size is complete.
+		size := min(2*cap(buffered), maxBufferedAnswer+1)
+		if size == cap(buffered) || !r.mayHold(cap(buffered), size) {
+			return buffered, false, nil
+		}
+		buffered = append(make([]byte, 0, size), buffered...)
+	}
+}
+
+// mayHold reports whether a buffer may grow from one size to another.
+func (r *requestRun) mayHold(from, to int) bool {
+	if to <= freeAnswerBuffer || r.callbacks.HoldFunc == nil {
+		return true
+	}
+	return r.callbacks.HoldFunc(to - from)
 }
 
 // stayAtServer keeps the attempt from being cancelled to move it, as no other server can
@@ -67,10 +103,11 @@
 	return false
 }
 
-// forwardRemainder forwards what follows the buffered part of a long answer.
-func (r *requestRun) forwardRemainder(response *Response) error {
-	chunk := make([]byte, maxBufferedAnswer)
-	for forwarded := maxBufferedAnswer; ; {
+// forwardRemainder forwards what follows the buffered part of a long answer. It uses the
+// buffer again.
+func (r *requestRun) forwardRemainder(response *Response, buffered []byte) error {
+	chunk := buffered[:cap(buffered)]
+	for forwarded := len(buffered); ; {
 		n, err := response.Body.Read(chunk)
 		forwarded += n
 		if forwarded > maxAnswerBytes {
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -253,4 +253,7 @@
 	WriteHeadFunc func(response *Response, length int64)
 	// WriteBodyFunc writes a part of the body to the caller without delay.
 	WriteBodyFunc func(part []byte) error
+	// HoldFunc asks whether a number of bytes more may be held until the request ends. If
+	// not, an answer is forwarded before it is complete. Nil means that they may.
+	HoldFunc func(bytes int) bool
 }
--- a/spokememory/budget.go
+++ b/spokememory/budget.go
@@ -25,6 +25,8 @@
 	KindAnswer Kind = "answer_not_buffered"
 	// KindTooLarge means that a body is longer than a request's body may be.
 	KindTooLarge Kind = "too_large"
+	// KindInvalidLimit means that a flag sets a limit that isn't allowed.
+	KindInvalidLimit Kind = "invalid_limit"
 	// KindNotRead means that a body ended early or came too late.
 	KindNotRead Kind = "not_read"
 )
--- a/spokememory/guard.go
+++ b/spokememory/guard.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
 
 const (
@@ -31,6 +32,9 @@
 	callerDescriptorShare = 0.4
 	// sweepInterval is the time between two checks for slow bodies.
 	sweepInterval = spokeclock.Second
+	// maxFlag bounds the limits that flags set, so that conversions don't overflow.
+	maxFlag       = 1 << 20
+	megabyteShift = 20
 	// logLinesPerSecond bounds the log lines of this package.
 	logLinesPerSecond = 5
 )
@@ -62,6 +66,29 @@
 	return limits
 }
 
+// Overridden returns the limits with those of overrides that are not zero.
+func (l Limits) Overridden(overrides Limits) Limits {
+	if overrides.BudgetBytes > 0 {
+		l.BudgetBytes = overrides.BudgetBytes
+	}
+	if overrides.Connections > 0 {
+		l.Connections = overrides.Connections
+	}
+	return l
+}
+
+// OverridesFromFlags returns the limits that flags set; zero stands for a derived one. It
+// returns an error of kind KindInvalidLimit if a flag is out of range.
+func OverridesFromFlags(budgetMegabytes, connections int) (Limits, error) {
+	if budgetMegabytes < 0 || budgetMegabytes > maxFlag {
+		return Limits{}, spokeerror.Newf("check flags", KindInvalidLimit, "--caller-memory-mb is %d; allowed: 0 to %d", budgetMegabytes, maxFlag)
+	}
+	if connections < 0 || connections > maxFlag {
+		return Limits{}, spokeerror.Newf("check flags", KindInvalidLimit, "--caller-connections is %d; allowed: 0 to %d", connections, maxFlag)
+	}
+	return Limits{BudgetBytes: int64(budgetMegabytes) << megabyteShift, Connections: connections}, nil
+}
+
 // Guard is the bounds of a process with their metrics and log lines.
 type Guard struct {
 	// Budget bounds the bytes.
