--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclaim"
@@ -24,6 +27,7 @@
 	"mulberryspoke.example/mulberryspoke/spokelimit"
 	"mulberryspoke.example/mulberryspoke/spokelog"
 	"mulberryspoke.example/mulberryspoke/spokemember"
+	"mulberryspoke.example/mulberryspoke/spokememory"
 	"mulberryspoke.example/mulberryspoke/spokeobject"
 	"mulberryspoke.example/mulberryspoke/spokeoperate"
 	"mulberryspoke.example/mulberryspoke/spokepeer"
@@ -33,9 +37,15 @@
 )
 
 const (
-	drainPollInterval    = 20 * spokeclock.Millis(1)
-	pruneInterval        = 60 * spokeclock.Second
-	headerTimeout        = 2 * spokeclock.Second
+	drainPollInterval = 20 * spokeclock.Millis(1)
+	pruneInterval     = 60 * spokeclock.Second
+	headerTimeout     = 2 * spokeclock.Second
+	// memoryLimitRatio is the part of an instance's memory that GOMEMLIMIT leaves to the Go
+	// runtime.
+	memoryLimitRatio = 0.7
+	megabyteShift    = 20
+	// maxDescriptors stands for no limit of open files.
+	maxDescriptors       = 1 << 20
 	pendingClaimsTimeout = 5 * spokeclock.Second
 	// maxOrderDelay is the longest time that an order takes to reach an engine.
 	maxOrderDelay = 2 * spokeclock.Second
@@ -69,6 +79,7 @@
 	queries        *spokeoperate.QueryService
 	pruneLease     *spokelease.Lease
 	fleet          *spokefleet.Manager
+	guard          *spokememory.Guard
 	callerServer   *http.Server
 	operatorServer *http.Server
 	unready        atomic.Bool
@@ -94,7 +105,7 @@
 	defer stopBackground()
 	var running sync.WaitGroup
 	e.startBackground(background, &running)
-	running.Go(func() { spokehttp.Serve(e.callerServer, listeners.callers, e.log) })
+	running.Go(func() { spokehttp.Serve(e.callerServer, e.guard.Connections.Listener(listeners.callers), e.log) })
 	running.Go(func() { spokehttp.Serve(e.operatorServer, listeners.operators, e.log) })
 	e.log.Info().Str("callers", e.Settings.CallerAddress).Msg("Entry instance is serving.")
 	close(e.started)
@@ -208,20 +219,37 @@
 
 func (e *Entry) buildServers(client, noKeepAliveClient *http.Client) {
 	e.core = e.newCore()
+	e.guard = spokememory.NewGuard(e.limits(), e.metrics, e.Logs.Component("serve"))
 	e.server = &spokeserve.Server{
 		Core: e.core, Store: e.store, Claims: e.claims,
 		AttemptStateFunc: e.peerNode.AttemptState, ConfigUpToDateFunc: e.peerNode.ConfigCheckDone,
 		Client: client, NoKeepAliveClient: noKeepAliveClient,
-		MaxBodyBytes: e.Settings.MaxBodyBytes, Counters: spokeserve.NewCounters(e.metrics),
+		MaxBodyBytes: e.Settings.MaxBodyBytes, Budget: e.guard.Budget, Counters: spokeserve.NewCounters(e.metrics),
 		Log: e.Logs.Component("serve"), Switches: e.switches(),
 	}
 	authenticator := spokeoperate.Authenticator{KeySHA256: e.Settings.OperatorKeySHA256}
 	e.commands = &spokeoperate.CommandService{Authenticator: authenticator, Repository: e.repository, View: e.view, ChangedFunc: e.peerNode.TriggerHeartbeats}
 	e.queries = &spokeoperate.QueryService{Authenticator: authenticator, Store: e.store, View: e.view, Registry: e.registry, Core: e.core, Leases: []*spokelease.Lease{e.pruneLease, e.fleet.Lease}}
-	e.callerServer = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	e.callerServer = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: headerTimeout.Duration(), ConnState: e.guard.Connections.Update}
 	e.operatorServer = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
 }
 
+// limits returns the bounds on callers: those that are set, else those derived from the
+// memory limit of the Go runtime and the limit of open files.
+func (e *Entry) limits() spokememory.Limits {
+	memory := debug.SetMemoryLimit(-1)
+	if memory == math.MaxInt64 {
+		memory = 0
+	}
+	var files unix.Rlimit
+	descriptors := 0
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err == nil {
+		descriptors = int(min(files.Cur, maxDescriptors))
+	}
+	derived := spokememory.DeriveLimits(int64(float64(memory)/memoryLimitRatio), descriptors)
+	return derived.Overridden(spokememory.Limits{BudgetBytes: int64(e.Settings.BudgetMegabytes) << megabyteShift, Connections: e.Settings.Connections})
+}
+
 // newCore returns the core without the disabled mechanisms.
 func (e *Entry) newCore() *spokecore.Core {
 	core := &spokecore.Core{
@@ -271,6 +299,7 @@
 
 // startBackground starts the goroutines of all background work.
 func (e *Entry) startBackground(ctx context.Context, running *sync.WaitGroup) {
+	running.Go(func() { e.guard.Run(ctx) })
 	running.Go(func() { e.claims.Run(ctx) })
 	running.Go(func() { e.peerNode.Run(ctx) })
 	running.Go(func() { e.poller.Run(ctx) })
--- a/spokeentry/settings.go
+++ b/spokeentry/settings.go
@@ -28,6 +28,7 @@
 const (
 	keyHashHexDigits = 64
 	maxBodyBytes     = 64 << 20
+	maxCallerLimit   = 1 << 20
 	peerFields       = 3
 	maxShutdownTime  = 3600 * spokeclock.Second
 	maxPort          = 65535
@@ -52,6 +53,8 @@
 	UnreadyDelay       spokeclock.Millis `long:"unready-millis" env:"MULBERRYSPOKE_UNREADY_MILLIS" description:"Time from unready to refusing requests when shutting down" default:"1000"`
 	GracePeriod        spokeclock.Millis `long:"grace-millis" env:"MULBERRYSPOKE_GRACE_MILLIS" description:"Time for requests under way when shutting down" default:"120000"`
 	MaxBodyBytes       int64             `long:"max-body-bytes" env:"MULBERRYSPOKE_MAX_BODY_BYTES" description:"Largest request body" default:"1048576"`
+	BudgetMegabytes    int               `long:"caller-memory-mb" env:"MULBERRYSPOKE_CALLER_MEMORY_MB" description:"Memory in MB that callers' requests may hold; 0: derived from GOMEMLIMIT, without a bound if that is not set" default:"0"`
+	Connections        int               `long:"caller-connections" env:"MULBERRYSPOKE_CALLER_CONNECTIONS" description:"Largest number of callers' connections; 0: derived from GOMEMLIMIT and the limit of open files" default:"0"`
 	DisabledMechanisms []string          `long:"switch-off" env:"MULBERRYSPOKE_SWITCH_OFF" env-delim:"," description:"Mechanism to turn off, for tests and measurements: resume, claims, move, cache_move, priority, admission, slow_move"`
 }
 
@@ -79,6 +82,8 @@
 	v.require(s.UnreadyDelay >= 0 && s.UnreadyDelay <= maxShutdownTime, "unready-millis", strconv.FormatInt(int64(s.UnreadyDelay), 10), "0 to 3600000")
 	v.require(s.GracePeriod >= 0 && s.GracePeriod <= maxShutdownTime, "grace-millis", strconv.FormatInt(int64(s.GracePeriod), 10), "0 to 3600000")
 	v.require(s.MaxBodyBytes > 0 && s.MaxBodyBytes <= maxBodyBytes, "max-body-bytes", strconv.FormatInt(s.MaxBodyBytes, 10), "1 to 67108864")
+	v.require(s.BudgetMegabytes >= 0 && s.BudgetMegabytes <= maxCallerLimit, "caller-memory-mb", strconv.Itoa(s.BudgetMegabytes), "0 to 1048576")
+	v.require(s.Connections >= 0 && s.Connections <= maxCallerLimit, "caller-connections", strconv.Itoa(s.Connections), "0 to 1048576")
 	for _, peer := range s.SeedPeers {
 		_, err := parsePeer(peer)
 		v.require(err == nil, "peer", peer, "name@data-centre@ip:port")
--- a/spokeserve/chat.go
+++ b/spokeserve/chat.go
@@ -15,6 +15,8 @@
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokememory"
 )
 
 const (
@@ -36,6 +38,11 @@
 	defaultAnswerTokens = 128
 	maxAnswerTokens     = 32768
 
+	// chatCopies and plainCopies are the copies of a body that are held beside it: in one
+	// piece, and of a conversation also decoded and as the engine's request.
+	chatCopies  = 3
+	plainCopies = 1
+
 	contentTypeJSON   = "application/json"
 	contentTypeEvents = "text/event-stream"
 
@@ -59,7 +66,7 @@
 // Complete implements the chat service of the API.
 func (s *Server) Complete(ctx context.Context, payload *chat.CompletePayload, body io.ReadCloser) (*chat.CompleteResult, io.ReadCloser, error) {
 	done := sync.OnceFunc(s.countActiveRequest())
-	request, refusal := s.readChatRequest(body)
+	request, refusal := s.readChatRequest(ctx, payload.Authorization, body)
 	if refusal != nil {
 		done()
 		s.countRefusal("", refusal)
@@ -73,9 +80,9 @@
 	return result, answer, nil
 }
 
-func (s *Server) readChatRequest(body io.Reader) (chatRequest, *types.Refusal) {
+func (s *Server) readChatRequest(ctx context.Context, authorization *string, body io.Reader) (chatRequest, *types.Refusal) {
 	var request chatRequest
-	text, refusal := s.readBody(body)
+	text, refusal := s.readBody(ctx, authorization, body, chatCopies)
 	if refusal != nil {
 		return request, refusal
 	}
@@ -85,15 +92,40 @@
 	return request, validateChatRequest(&request)
 }
 
-func (s *Server) readBody(body io.Reader) ([]byte, *types.Refusal) {
-	text, err := io.ReadAll(io.LimitReader(body, s.maxBodyBytes()+1))
-	if err != nil {
-		return nil, refuse(KindMalformedRequest, longRetryAfter, "the body could not be read: "+err.Error())
+// readBody reads the whole body within the budget of the process, and charges it for
+// copies of the body that are made later.
+func (s *Server) readBody(ctx context.Context, authorization *string, body io.Reader, copies int64) ([]byte, *types.Refusal) {
+	details := requestDetailsFrom(ctx)
+	details.reservation = s.Budget.Open(s.workspaceName(authorization), details.contentLength)
+	content, err := details.reservation.ReadBody(body, s.maxBodyBytes(), details.endReading)
+	if err == nil {
+		err = details.reservation.Grow(copies * content.Len())
 	}
-	if int64(len(text)) > s.maxBodyBytes() {
+	if err == nil {
+		return content.Bytes(), nil
+	}
+	details.closeAfterResponse()
+	switch spokeerror.KindOf[spokememory.Kind](err) {
+	case spokememory.KindTooLarge:
 		return nil, refuse(KindBodyTooLarge, longRetryAfter, fmt.Sprintf("the body is over %d bytes", s.maxBodyBytes()))
+	case spokememory.KindNotRead:
+		return nil, refuse(KindMalformedRequest, longRetryAfter, "the body could not be read: "+err.Error())
+	default:
+		return nil, refuse(KindOverloaded, shortRetryAfter, "no memory for the request")
+	}
+}
+
+// workspaceName returns the name of the workspace that has a key, or "" if none has.
+func (s *Server) workspaceName(authorization *string) string {
+	snapshot := s.Store.Current()
+	if snapshot == nil || authorization == nil {
+		return ""
+	}
+	workspace, isKnown := snapshot.WorkspaceByKey(strings.TrimPrefix(*authorization, bearerPrefix))
+	if !isKnown {
+		return ""
 	}
-	return text, nil
+	return workspace.Name
 }
 
 func validateChatRequest(request *chatRequest) *types.Refusal {
--- a/spokeserve/plain.go
+++ b/spokeserve/plain.go
@@ -52,7 +52,7 @@
 // newCall reads and authorises a request.
 func (s *Server) newCall(ctx context.Context, payload *plain.CallPayload, body io.Reader) (*call, *types.Refusal) {
 	details := requestDetailsFrom(ctx)
-	content, refusal := s.readBody(body)
+	content, refusal := s.readBody(ctx, payload.Authorization, body, plainCopies)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/spokeserve/requestdetails.go
+++ b/spokeserve/requestdetails.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"net/url"
 	"path"
+	"time"
 
 	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokememory"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
@@ -17,6 +19,11 @@
 	query          string
 	contentType    string
 	responseStatus int
+	// contentLength is the announced length of the body, negative if it is not known.
+	contentLength int64
+	// reservation is what the request holds, from the reading of its body.
+	reservation *spokememory.Reservation
+	writer      http.ResponseWriter
 }
 
 type requestDetailsKey struct{}
@@ -28,7 +35,8 @@
 func WithRequestDetails(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer spokehttp.ResetOnAbort(w, r)
-		details := &requestDetails{method: r.Method, query: r.URL.RawQuery, contentType: r.Header.Get("Content-Type")}
+		details := &requestDetails{method: r.Method, query: r.URL.RawQuery, contentType: r.Header.Get("Content-Type"), contentLength: r.ContentLength, writer: w}
+		defer details.release()
 		ctx := spoketrace.Extract(r.Context(), r.Header)
 		ctx = context.WithValue(ctx, requestDetailsKey{}, details)
 		next.ServeHTTP(&statusWriter{ResponseWriter: w, details: details}, r.WithContext(ctx))
@@ -43,6 +51,25 @@
 	return details
 }
 
+// release returns the bytes that the request holds.
+func (d *requestDetails) release() {
+	if d.reservation != nil {
+		d.reservation.Release()
+	}
+}
+
+// endReading makes a read of the body fail that is blocked.
+func (d *requestDetails) endReading() {
+	_ = http.NewResponseController(d.writer).SetReadDeadline(time.Now())
+}
+
+// closeAfterResponse closes the connection after the response, as the rest of the body
+// would have to be read otherwise.
+func (d *requestDetails) closeAfterResponse() {
+	d.writer.Header().Set("Connection", "close")
+	d.endReading()
+}
+
 // setStatus sets the status of the response to that of the backend server.
 func setStatus(ctx context.Context, status int) {
 	requestDetailsFrom(ctx).responseStatus = status
--- a/spokeserve/server.go
+++ b/spokeserve/server.go
@@ -14,6 +14,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokecore"
+	"mulberryspoke.example/mulberryspoke/spokememory"
 )
 
 const (
@@ -51,6 +52,8 @@
 	Clock *spokeclock.Clock
 	// MaxBodyBytes is the largest request body. Zero means 1 MiB.
 	MaxBodyBytes int64
+	// Budget bounds what the requests hold. Nil means that there is no bound.
+	Budget *spokememory.Budget
 	// Counters counts events.
 	Counters *Counters
 	// Log receives the log messages.
