spokememory: fewer allocations for small bodies

Change: the first segment of a body needs no slice of segments, and the function that evicts a body is made only when the body has not arrived at once.

--- a/spokememory/body.go
+++ b/spokememory/body.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
+	"time"
 
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
@@ -21,13 +23,14 @@
 
 // Body is a request's body, in segments so that it need not be copied as it grows.
 type Body struct {
-	segments [][]byte
-	length   int64
+	first  []byte
+	others [][]byte
+	length int64
 }
 
 // NewBody returns a body of one segment.
 func NewBody(data []byte) Body {
-	return Body{segments: [][]byte{data}, length: int64(len(data))}
+	return Body{first: data, length: int64(len(data))}
 }
 
 // Len returns the length in bytes.
@@ -35,14 +38,12 @@
 
 // Reader returns a new reader of the whole body.
 func (b Body) Reader() io.Reader {
-	switch len(b.segments) {
-	case 0:
-		return bytes.NewReader(nil)
-	case 1:
-		return bytes.NewReader(b.segments[0])
-	}
-	readers := make([]io.Reader, 0, len(b.segments))
-	for _, segment := range b.segments {
+	if len(b.others) == 0 {
+		return bytes.NewReader(b.first)
+	}
+	readers := make([]io.Reader, 0, 1+len(b.others))
+	readers = append(readers, bytes.NewReader(b.first))
+	for _, segment := range b.others {
 		readers = append(readers, bytes.NewReader(segment))
 	}
 	return io.MultiReader(readers...)
@@ -50,37 +51,44 @@
 
 // WriteTo writes the body to w.
 func (b Body) WriteTo(w io.Writer) (int64, error) {
-	written := int64(0)
-	for _, segment := range b.segments {
-		n, err := w.Write(segment)
-		written += int64(n)
+	n, err := w.Write(b.first)
+	written := int64(n)
+	for _, segment := range b.others {
 		if err != nil {
-			return written, err
+			break
 		}
+		n, err = w.Write(segment)
+		written += int64(n)
 	}
-	return written, nil
+	return written, err
 }
 
 // Bytes returns the body in one piece. The bytes of a body of several segments are
 // copied; the caller charges the copy.
 func (b Body) Bytes() []byte {
-	if len(b.segments) == 1 {
-		return b.segments[0]
+	if len(b.others) == 0 {
+		return b.first
+	}
+	data := make([]byte, 0, b.length)
+	data = append(data, b.first...)
+	for _, segment := range b.others {
+		data = append(data, segment...)
 	}
-	return bytes.Join(b.segments, nil)
+	return data
 }
 
 // ReadBody reads a whole body of up to limit bytes. Segments are charged as bytes arrive.
-// EvictFunc makes a read that is blocked fail. It returns an error of kind KindTooLarge,
+// Controller is that of the request's response; an eviction sets its read deadline, so that
+// a read that is blocked fails. ReadBody returns an error of kind KindTooLarge,
 // KindNotRead, KindFull, KindWorkspaceShare or KindEvicted.
-func (r *Reservation) ReadBody(body io.Reader, limit int64, evictFunc func()) (Body, error) {
+func (r *Reservation) ReadBody(body io.Reader, limit int64, controller *http.ResponseController) (Body, error) {
 	if r.announced > limit {
 		return Body{}, spokeerror.Newf("read body", KindTooLarge, "%d bytes are announced", r.announced)
 	}
 	if r.announced == 0 {
 		return Body{}, nil
 	}
-	reader := bodyReader{reservation: r, source: body, limit: limit, evictFunc: evictFunc}
+	reader := bodyReader{reservation: r, source: body, limit: limit, controller: controller}
 	for {
 		isComplete, err := reader.readSegment()
 		if err != nil {
@@ -114,7 +122,7 @@
 
 // recycle gives back the segments of a body that is not used.
 func (b *bodyReader) recycle() {
-	for _, segment := range b.body.segments {
+	for _, segment := range b.body.others {
 		if cap(segment) == maxSegment {
 			segmentPool.Put((*[maxSegment]byte)(segment[:maxSegment]))
 		}
@@ -127,7 +135,7 @@
 	reservation *Reservation
 	source      io.Reader
 	limit       int64
-	evictFunc   func()
+	controller  *http.ResponseController
 	body        Body
 	isReading   bool
 }
@@ -177,7 +185,11 @@
 }
 
 func (b *bodyReader) add(segment []byte) {
-	b.body.segments = append(b.body.segments, segment)
+	if b.body.first == nil {
+		b.body.first = segment
+	} else {
+		b.body.others = append(b.body.others, segment)
+	}
 	b.body.length += int64(len(segment))
 }
 
@@ -185,7 +197,8 @@
 func (b *bodyReader) recordArrival(n int) {
 	if !b.isReading {
 		b.isReading = true
-		b.reservation.beginReading(b.evictFunc)
+		controller := b.controller
+		b.reservation.beginReading(func() { _ = controller.SetReadDeadline(time.Now()) })
 	}
 	b.reservation.recordArrival(n)
 }
--- a/spokememory/body_test.go
+++ b/spokememory/body_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -48,7 +50,7 @@
 	}
 	budget := &Budget{Limit: c.Budget}
 	r := budget.Open("w", c.Announced)
-	body, err := r.ReadBody(c.reader(data), c.Limit, func() {})
+	body, err := r.ReadBody(c.reader(data), c.Limit, http.NewResponseController(httptest.NewRecorder()))
 	require.Equal(t, c.Want, spokeerror.KindOf[Kind](err))
 	require.LessOrEqual(t, budget.Held(), c.MaxHeld)
 	if c.Want == "" {
--- a/spokeserve/chat.go
+++ b/spokeserve/chat.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 
@@ -97,7 +98,7 @@
 func (s *Server) readBody(ctx context.Context, authorization *string, body io.Reader, copies int64) ([]byte, *types.Refusal) {
 	details := requestDetailsFrom(ctx)
 	details.reservation = s.Budget.Open(s.workspaceName(authorization), details.contentLength)
-	content, err := details.reservation.ReadBody(body, s.maxBodyBytes(), details.endReading)
+	content, err := details.reservation.ReadBody(body, s.maxBodyBytes(), http.NewResponseController(details.writer))
 	if err == nil {
 		err = details.reservation.Grow(copies * content.Len())
 	}
--- a/spokeserve/requestdetails.go
+++ b/spokeserve/requestdetails.go
@@ -58,16 +58,11 @@
 	}
 }
 
-// endReading makes a read of the body fail that is blocked.
-func (d *requestDetails) endReading() {
-	_ = http.NewResponseController(d.writer).SetReadDeadline(time.Now())
-}
-
 // closeAfterResponse closes the connection after the response, as the rest of the body
 // would have to be read otherwise.
 func (d *requestDetails) closeAfterResponse() {
 	d.writer.Header().Set("Connection", "close")
-	d.endReading()
+	_ = http.NewResponseController(d.writer).SetReadDeadline(time.Now())
 }
 
 // setStatus sets the status of the response to that of the backend server.
