--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -31,6 +31,7 @@
 	}
 	if !response.Replayed {
 		attempt.RecordToken(true)
+		r.observer.begin(response.ServerFailed)
 	}
 	if response.ServerFailed && r.canRunAgain() && r.service.retryBudget.AllowRetry() {
 		r.core.Counters.replaced.Inc()
@@ -99,6 +100,7 @@
 		if !event.isComment() {
 			attempt.RecordToken(isFirst)
 			w.recordEvent()
+			r.observer.recordEvent()
 			if isFirst {
 				r.answerStartedAt = r.core.Clock.Now()
 			}
@@ -108,6 +110,7 @@
 			return forwardErr
 		}
 		forwardErr = r.forwardEvent(response, event, w)
+		r.observer.endEvent()
 		if forwardErr == nil && r.allowMoveFromSlow(attempt) {
 			cancel(errServerSlow)
 		}
--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -37,7 +37,12 @@
 	span.SetAttribute("server", server)
 	w := r.startWatchdog(attempt, cancel)
 	defer w.stop()
+	r.observer = r.newAnswerObserver(attempt)
 	err := r.sendAndForward(ctx, attempt, w, cancel)
+	r.observer.end(ctx, err)
+	if err != nil {
+		r.failedVersion = attempt.Instance().SoftwareVersion
+	}
 	if err != nil && isMoveCause(context.Cause(ctx)) {
 		err = spokeerror.New("run attempt", KindMoved, context.Cause(ctx))
 	}
@@ -75,6 +80,9 @@
 	if response.Body != nil {
 		defer func() { _ = response.Body.Close() }()
 	}
+	if response.ServerFailed && !response.Replayed {
+		r.observer.begin(true)
+	}
 	if r.headWritten && (response.EventsFunc == nil || response.ServerFailed) {
 		return spokeerror.Newf("read answer", KindInvalidAnswer, "the resumed answer is not an event stream")
 	}
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -17,6 +17,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeorigin"
 	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spokeretry"
+	"mulberryspoke.example/mulberryspoke/spokerollout"
 	"mulberryspoke.example/mulberryspoke/spokeroute"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
@@ -60,6 +61,14 @@
 	// that callers can't resume streams; within an answer, a stream goes on at the
 	// version that began it in any case.
 	Origins *spokeorigin.Records
+	// FilterVersionsFunc returns which software versions of a service may serve a request
+	// for now. Draw is a random number from 0 up to 1 that stays with the request,
+	// failedVersion the version at which an attempt of it has failed, or empty. Nil means
+	// all versions.
+	FilterVersionsFunc func(service string, draw float64, failedVersion string) spokerollout.Filter
+	// RecordAnswerFunc receives how the answers of attempts go. It is called several times
+	// for one attempt, each time with what has become known. It may be nil.
+	RecordAnswerFunc func(answer spokerollout.Answer)
 	// RequestStartedFunc is called once for each request that a server has
 	// started to run. It may be nil.
 	RequestStartedFunc func(workspace string)
@@ -114,6 +123,9 @@
 	defer c.activeRequests.Add(-1)
 	ctx, span := spoketrace.StartSpan(ctx, "serve request")
 	r := &requestRun{core: c, request: request, callbacks: callbacks, service: c.serviceState(request.Service.Name), startedAt: c.Clock.Now(), sharedPartKeys: request.sharedPartKeys(), subjects: request.subjects()}
+	if c.FilterVersionsFunc != nil {
+		r.versionDraw = rand.Float64() //nolint:gosec // Choices need no secrecy.
+	}
 	r.sharedPrefixTokens, r.prefixKey = request.sharedPrefix()
 	refusal := r.serve(ctx)
 	r.recordResult(refusal)
@@ -227,7 +239,7 @@
 // that is open to long answers.
 func (r *requestRun) chooseServer(applyLongShare bool) spokeroute.Decision {
 	c, s := r.core, r.service
-	candidates := c.Registry.Candidates(r.request.Service.Name, s.prefixLocations.Server(r.prefixKey))
+	candidates := r.filterVersions(c.Registry.Candidates(r.request.Service.Name, s.prefixLocations.Server(r.prefixKey)))
 	c.markUnreachable(candidates)
 	entryInstances := c.memberCount()
 	routeRequest := spokeroute.Request{
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -67,6 +67,12 @@
 	// softwareVersion is the version of the servers' software at which the stream began,
 	// or nil before.
 	softwareVersion atomic.Pointer[string]
+	// versionDraw is the random number by which the request's version is chosen during a
+	// rollout, and failedVersion the version of the server at which an attempt has failed.
+	versionDraw   float64
+	failedVersion string
+	// observer reports how the answer to the present attempt goes.
+	observer *answerObserver
 	// movedFrom is the server that still holds the KV cache of an answer that is
 	// being moved.
 	movedFrom spokecloud.Instance
--- /dev/null
+++ b/spokerollout/filter.go
@@ -0,0 +1,56 @@
+package spokerollout
+
+import "slices"
+
+// Filter tells which software versions may serve a request.
+type Filter struct {
+	// to is the ordered version, or empty if no order is in force.
+	to string
+	// isNew is whether the request goes to the ordered version, otherwise to any other.
+	isNew bool
+	// isExclusive is whether no other version may serve in place of the ordered one.
+	isExclusive bool
+	barred      []string
+}
+
+// IsEmpty reports whether all versions may serve the request.
+func (f Filter) IsEmpty() bool { return f.to == "" && len(f.barred) == 0 }
+
+// Bars reports whether a version may serve no request at all.
+func (f Filter) Bars(version string) bool { return slices.Contains(f.barred, version) }
+
+// Allows reports whether the request should go to a version.
+func (f Filter) Allows(version string) bool {
+	return !f.Bars(version) && (f.to == "" || (version == f.to) == f.isNew)
+}
+
+// AllowsInstead reports whether a version may serve if none that Allows reports can.
+func (f Filter) AllowsInstead(version string) bool {
+	return !f.Bars(version) && (!f.isExclusive || version == f.to)
+}
+
+// IsNew reports whether the request goes to the ordered version.
+func (f Filter) IsNew() bool { return f.to != "" && f.isNew }
+
+// rule is how the requests of a service are divided. It doesn't change once made.
+type rule struct {
+	to    string
+	share float64
+	// isExclusive is set once the old servers have been told to stop.
+	isExclusive bool
+	barred      []string
+}
+
+// filter returns the filter of a request. Draw is a random number from 0 up to 1 that
+// stays with the request, so that all its attempts keep to one side.
+func (r rule) filter(draw float64, failedVersion string) Filter {
+	f := Filter{to: r.to, barred: r.barred, isExclusive: r.isExclusive}
+	if r.to == "" {
+		return f
+	}
+	f.isNew = draw < r.share
+	if failedVersion == r.to && r.share < 1 {
+		f.isNew = false
+	}
+	return f
+}
--- /dev/null
+++ b/spokerollout/rollouts.go
@@ -0,0 +1,341 @@
+package spokerollout
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
+)
+
+// Answer is how a backend server's answer to an attempt went, or a part of it. Fields that
+// are zero are not told.
+type Answer struct {
+	// Service and Route are those of the request, Version is that of the server's
+	// software.
+	Service, Route, Version string
+	// IsAnswer is set in the first report of an attempt that the server has answered or
+	// that has waited in vain.
+	IsAnswer bool
+	// IsFailed is whether the server has reported a failure, IsBroken whether no answer
+	// came or it broke off.
+	IsFailed, IsBroken bool
+	// FirstEvent is the time to the first event, or to the whole answer if it is no
+	// stream. With IsWaiting no event had come by then.
+	FirstEvent spokeclock.Millis
+	IsWaiting  bool
+	// MeanPause is the mean time between two events in milliseconds.
+	MeanPause float64
+	// Duration is the time to the end of a complete answer.
+	Duration spokeclock.Millis
+}
+
+// Rollouts decides at one instance about the rollouts of all services. Set its fields
+// before the first call. It is safe for concurrent use.
+type Rollouts struct {
+	// ExposeShare is the part of a service's requests that a bad version may get.
+	ExposeShare float64
+	// OldInFlightFunc returns the requests in flight at servers of a service that have
+	// another version, as far as this instance knows.
+	OldInFlightFunc func(service, to string) int
+	// VersionsFunc returns how many servers of a service that take new requests have each
+	// version.
+	VersionsFunc func(service string) map[string]int
+	// DecisionFunc, if set, is called with each decision. It must not call back.
+	DecisionFunc func(Decision)
+	// Clock is the time source. Nil means the system clock.
+	Clock *spokeclock.Clock
+
+	// rules are the rules in force by service, which requests read without a lock.
+	rules atomic.Pointer[map[string]rule]
+
+	mutex sync.Mutex
+	// hasOrders is whether the orders have been read since the start.
+	hasOrders bool
+	rollouts  map[string]*rollout
+	statuses  map[string]StatusRow
+	// barred are versions that were found bad, by service, until an order names them.
+	barred     map[string]map[string]orderKey
+	references map[referenceKey]*reference
+	told       evidenceStore
+}
+
+// referenceKey identifies the measurements of one route.
+type referenceKey struct {
+	service, route string
+	what           metric
+}
+
+// rollout is what this instance knows of one order.
+type rollout struct {
+	key   orderKey
+	order Order
+	// startedAt is when the order was given, as far as this instance can tell.
+	startedAt spokeclock.Millis
+	state     State
+	reason    string
+	decidedAt spokeclock.Millis
+	stage     int
+	stageAt   spokeclock.Millis
+	// emptySince is since when the old servers are empty in the last stage, or zero.
+	emptySince spokeclock.Millis
+	// newAnswerAt is when the newest answer of the ordered version became known, or zero.
+	newAnswerAt spokeclock.Millis
+	// prior is the status row from before the order. It doesn't bind this one.
+	prior    StatusRow
+	hasPrior bool
+	// cells is this instance's own evidence.
+	cells map[cellKey]int64
+}
+
+// Filter returns which versions may serve a request. Draw is a random number from 0 up to
+// 1 that stays with the request. FailedVersion is the version at which an attempt of the
+// request has failed, or empty.
+func (r *Rollouts) Filter(service string, draw float64, failedVersion string) Filter {
+	rules := r.rules.Load()
+	if rules == nil {
+		return Filter{}
+	}
+	return (*rules)[service].filter(draw, failedVersion)
+}
+
+// SetOrders replaces the orders, by service. IsRestored is whether the table has been
+// restored from an older copy since the last call, so that rows may be missing that
+// nobody has removed.
+func (r *Rollouts) SetOrders(orders map[string]Order, isRestored bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.initialise()
+	now := r.Clock.Now()
+	for service, known := range r.rollouts {
+		order, isOrdered := orders[service]
+		isLost := !isOrdered && isRestored && now-known.startedAt < known.order.TimeLimit
+		switch {
+		case isOrdered && order.To == known.order.To:
+			known.order.TimeLimit = order.TimeLimit
+		case !isLost:
+			delete(r.rollouts, service)
+			r.report(known, "the order was withdrawn or replaced")
+		}
+	}
+	for service, order := range orders {
+		if _, isKnown := r.rollouts[service]; !isKnown {
+			r.begin(service, order)
+		}
+	}
+	r.hasOrders = true
+	r.updateRules()
+}
+
+func (r *Rollouts) initialise() {
+	if r.rollouts == nil {
+		r.rollouts = make(map[string]*rollout)
+		r.statuses = make(map[string]StatusRow)
+		r.barred = make(map[string]map[string]orderKey)
+		r.references = make(map[referenceKey]*reference)
+	}
+}
+
+// begin begins with a new order. An instance that has just started can't tell whether it
+// is new, so that a final status that it finds binds the order.
+func (r *Rollouts) begin(service string, order Order) {
+	now := r.Clock.Now()
+	started := &rollout{
+		key: orderKey{service: service, to: order.To, epoch: order.Version}, order: order, startedAt: now, state: StateRunning,
+		stageAt: now, cells: make(map[cellKey]int64),
+	}
+	if r.hasOrders {
+		started.prior, started.hasPrior = r.statuses[service], true
+		delete(r.barred[service], order.To)
+	}
+	r.rollouts[service] = started
+	r.report(started, "the order was read")
+	r.applyStatus(started)
+}
+
+// SetStatuses replaces the status rows, by service.
+func (r *Rollouts) SetStatuses(statuses map[string]StatusRow) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.initialise()
+	r.statuses = maps.Clone(statuses)
+	for _, running := range r.rollouts {
+		r.applyStatus(running)
+	}
+	r.updateRules()
+}
+
+// applyStatus takes over a final state that another instance has written.
+func (r *Rollouts) applyStatus(running *rollout) {
+	row := r.statuses[running.key.service]
+	if r.binds(running, row) && running.state != row.State {
+		r.conclude(running, row.State, "the status row says so")
+	}
+}
+
+// binds reports whether a status row has the final state of a rollout.
+func (r *Rollouts) binds(running *rollout, row StatusRow) bool {
+	isPrior := running.hasPrior && running.prior.isSame(row)
+	return row.To == running.order.To && row.State.isFinal() && !isPrior
+}
+
+// conclude ends a rollout.
+func (r *Rollouts) conclude(running *rollout, state State, reason string) {
+	running.state, running.decidedAt = state, r.Clock.Now()
+	if state == StateRolledBack {
+		r.bar(running.key)
+	} else {
+		running.stage = stageAll
+		delete(r.barred[running.key.service], running.order.To)
+	}
+	r.report(running, reason)
+}
+
+func (r *Rollouts) bar(key orderKey) {
+	if r.barred[key.service] == nil {
+		r.barred[key.service] = make(map[string]orderKey)
+	}
+	r.barred[key.service][key.to] = key
+}
+
+// report remembers the reason of a decision and passes it on.
+func (r *Rollouts) report(running *rollout, reason string) {
+	running.reason = reason
+	if r.DecisionFunc == nil {
+		return
+	}
+	now := r.Clock.Now()
+	d := Decision{
+		Service: running.key.service, To: running.order.To, State: running.state, Stage: running.stage, Share: r.shareOf(running), Reason: reason, Age: now - running.startedAt,
+	}
+	if running.newAnswerAt > 0 {
+		d.EvidenceAge = now - running.newAnswerAt
+	}
+	for key, count := range r.evidence(running) {
+		switch {
+		case key.metric == metricAnswers && key.isNew:
+			d.NewAnswers += count
+		case key.metric == metricAnswers:
+			d.OldAnswers += count
+		case key.metric == metricFailed && key.isNew:
+			d.NewFailed += count
+		case key.metric == metricFailed:
+			d.OldFailed += count
+		}
+	}
+	r.DecisionFunc(d)
+}
+
+func (r *Rollouts) shareOf(running *rollout) float64 {
+	switch running.state {
+	case StateSucceeded:
+		return 1
+	case StateRolledBack:
+		return 0
+	default:
+		return share(running.stage, r.ExposeShare)
+	}
+}
+
+// succeededTime is how long requests keep to a version after its rollout has succeeded.
+// Old servers have stopped then, and servers of a later release may follow.
+const succeededTime = 10 * spokeclock.Second
+
+// updateRules puts the rules in force that follow from the rollouts and status rows.
+func (r *Rollouts) updateRules() {
+	rules := make(map[string]rule)
+	for service := range r.barred {
+		rules[service] = rule{barred: r.barredVersions(service)}
+	}
+	for service, row := range r.statuses {
+		if row.State == StateRolledBack {
+			rules[service] = rule{barred: r.barredVersions(service)}
+		}
+	}
+	now := r.Clock.Now()
+	for service, running := range r.rollouts {
+		entry := rule{barred: r.barredVersions(service)}
+		isOver := running.state == StateRolledBack || (running.state == StateSucceeded && now-running.decidedAt > succeededTime)
+		if !isOver {
+			entry.to, entry.share, entry.isExclusive = running.order.To, r.shareOf(running), running.state == StateSucceeded
+		}
+		rules[service] = entry
+	}
+	r.rules.Store(&rules)
+}
+
+// barredVersions returns the versions of a service that get no requests: those that were
+// found bad, unless an order in force names them again.
+func (r *Rollouts) barredVersions(service string) []string {
+	versions := make(map[string]bool)
+	for version := range r.barred[service] {
+		versions[version] = true
+	}
+	if row := r.statuses[service]; row.State == StateRolledBack {
+		versions[row.To] = true
+	}
+	if running := r.rollouts[service]; running != nil && running.state != StateRolledBack {
+		delete(versions, running.order.To)
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
+// NextStatus returns the status to write in place of a row that was read just now, or
+// false. Only the holder of the lease writes, on condition that the row is still the same.
+// A final status of an order is never replaced by another one.
+func (r *Rollouts) NextStatus(service string, row StatusRow) (Status, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	running, isOrdered := r.rollouts[service]
+	if !isOrdered {
+		return Status{}, false
+	}
+	if r.binds(running, row) {
+		if running.state != row.State {
+			r.conclude(running, row.State, "the status row says so")
+			r.updateRules()
+		}
+		return Status{}, false
+	}
+	next := Status{State: running.state, To: running.order.To}
+	isPrior := running.hasPrior && running.prior.isSame(row)
+	return next, next != row.Status || isPrior
+}
+
+// Pending returns the services whose status row differs from what this instance would
+// write.
+func (r *Rollouts) Pending() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var services []string
+	for service, running := range r.rollouts {
+		row := r.statuses[service]
+		isPrior := running.hasPrior && running.prior.isSame(row)
+		if isPrior || row.Status != (Status{State: running.state, To: running.order.To}) {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
+// RolloutStatus is a rollout as an operator sees it.
+type RolloutStatus struct {
+	Service, To string
+	State       State
+	Stage       int
+	Share       float64
+	Reason      string
+}
+
+// Overview returns the rollouts whose orders are in force.
+func (r *Rollouts) Overview() []RolloutStatus {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	overview := make([]RolloutStatus, 0, len(r.rollouts))
+	for service, running := range r.rollouts {
+		overview = append(overview, RolloutStatus{Service: service, To: running.order.To, State: running.state, Stage: running.stage, Share: r.shareOf(running), Reason: running.reason})
+	}
+	return overview
+}
