rollout: orders and status rows of the platform are followed

A final status binds every instance; the success of a rollout counts only once its row is read, so that no two instances conclude differently.

--- a/spokerollout/answers.go
+++ b/spokerollout/answers.go
@@ -117,7 +117,7 @@
 	now := r.Clock.Now()
 	for _, source := range r.told.sources {
 		for id, told := range source.orders {
-			if id.service == running.key.service && id.to == running.key.to && told.isLive(now) {
+			if id.service == running.key.service && id.to == running.key.to && told.isLive(now) && !r.ended[id] {
 				same[id] = true
 			}
 		}
@@ -148,6 +148,9 @@
 		if running.state == StateRolledBack {
 			counts[prefix+countBad] = 1
 		}
+		if running.state == StateSucceeded {
+			counts[prefix+countDone] = 1
+		}
 		for cell, count := range running.cells {
 			counts[prefix+cell.String()] = count
 		}
--- a/spokerollout/check.go
+++ b/spokerollout/check.go
@@ -27,6 +27,12 @@
 	r.initialise()
 	for _, running := range r.rollouts {
 		r.learnAge(running)
+		if running.isLost && r.Clock.Now()-running.startedAt >= running.order.TimeLimit {
+			delete(r.rollouts, running.key.service)
+			r.recordEnd(running)
+			r.report(running, "the order was lost in a restore of the table")
+			continue
+		}
 		if !running.state.isFinal() {
 			r.check(running)
 		}
@@ -40,7 +46,7 @@
 	now := r.Clock.Now()
 	for _, source := range r.told.sources {
 		for id, told := range source.orders {
-			if id.service == running.key.service && id.to == running.key.to && told.isLive(now) {
+			if id.service == running.key.service && id.to == running.key.to && told.isLive(now) && !r.ended[id] {
 				running.startedAt = min(running.startedAt, told.ageSeenAt-told.orderAge())
 			}
 		}
@@ -63,8 +69,8 @@
 
 func (r *Rollouts) check(running *rollout) {
 	now := r.Clock.Now()
-	if r.isFoundBad(running) {
-		r.conclude(running, StateRolledBack, "a peer has found the version bad")
+	if state := r.peersState(running); state.isFinal() {
+		r.conclude(running, state, "a peer says so")
 		return
 	}
 	cells := r.evidence(running)
@@ -80,8 +86,16 @@
 		return
 	}
 	isLastCall := age >= plan.begins[stageAll]
-	if isLastCall && (found.isBadAtLastCall || !r.isProven(running, cells)) {
-		r.checkLastCall(running, plan, age, found)
+	switch {
+	case isLastCall && found.isBadAtLastCall:
+		r.conclude(running, StateRolledBack, found.reason)
+		return
+	case age >= plan.finish && !running.isUnproven:
+		running.isUnproven = true
+		r.report(running, "the status is due, and too little is known of the version")
+		return
+	case isLastCall && !r.isProven(running, cells):
+		// Its servers may have started late.
 		return
 	}
 	if plan.due(age) > running.stage && r.mayRaise(running, cells, plan) && (!found.isDoubtful || isLastCall) {
@@ -90,28 +104,23 @@
 	}
 }
 
-// checkLastCall rolls a version back that is probably bad. One of which too little is
-// known has until the status is due, as its servers may have started late.
-func (r *Rollouts) checkLastCall(running *rollout, plan schedule, age spokeclock.Millis, found judgement) {
-	switch {
-	case found.isBadAtLastCall:
-		r.conclude(running, StateRolledBack, found.reason)
-	case age >= plan.finish:
-		r.conclude(running, StateRolledBack, "too few answers to tell that the version is good")
-	}
-}
-
-// isFoundBad reports whether a peer has found the version of an order bad.
-func (r *Rollouts) isFoundBad(running *rollout) bool {
+// peersState returns the final state that peers tell of, or that the rollout is running.
+// That it has succeeded has been written, and binds those that have found the version bad.
+func (r *Rollouts) peersState(running *rollout) State {
 	same := r.sameOrders(running)
+	state := StateRunning
 	for _, source := range r.told.sources {
 		for id, told := range source.orders {
-			if told.bad > 0 && same[id] {
-				return true
+			switch {
+			case !same[id]:
+			case told.done > 0:
+				return StateSucceeded
+			case told.bad > 0:
+				state = StateRolledBack
 			}
 		}
 	}
-	return false
+	return state
 }
 
 // isProven reports whether enough is known of a version to take it for good.
@@ -141,7 +150,7 @@
 	return sum
 }
 
-// checkDrained ends the last stage once the old servers are empty or the status is due.
+// checkDrained lets the holder of the lease end the last stage once the old servers are empty or the status is due.
 func (r *Rollouts) checkDrained(running *rollout, isDue bool) {
 	now := r.Clock.Now()
 	switch {
@@ -152,9 +161,12 @@
 	}
 	isEmpty := running.emptySince > 0 && now-running.emptySince >= emptyTime
 	switch {
+	case running.isReady:
 	case isDue:
-		r.conclude(running, StateSucceeded, "the status is due")
+		running.isReady = true
+		r.report(running, "the version may succeed, as the status is due")
 	case isEmpty:
-		r.conclude(running, StateSucceeded, "the old servers are empty")
+		running.isReady = true
+		r.report(running, "the version may succeed, as the old servers are empty")
 	}
 }
--- a/spokerollout/evidence.go
+++ b/spokerollout/evidence.go
@@ -37,6 +37,8 @@
 	countReporters = "n"
 	// countBad is one for each instance that has found the version bad or read so.
 	countBad = "bad"
+	// countDone is one for each instance that has read that the rollout has succeeded.
+	countDone = "done"
 )
 
 // ageUnit is the unit of the age of orders in counters.
@@ -120,6 +122,7 @@
 	ageSeenAt spokeclock.Millis
 	reporters int64
 	bad       int64
+	done      int64
 }
 
 // evidenceStore has what all sources have told, and the sums of it, so that a look at the
@@ -188,6 +191,8 @@
 		e.reporters = count
 	case countBad:
 		e.bad = count
+	case countDone:
+		e.done = count
 	default:
 		cell, isCell := parseCellKey(name)
 		if !isCell {
--- a/spokerollout/order.go
+++ b/spokerollout/order.go
@@ -39,15 +39,10 @@
 // StatusRow is a status row as it was read.
 type StatusRow struct {
 	Status
-	// Version and Era identify the change that wrote the row. Version is zero if there
-	// is no row.
+	// Version is the version of the row, or zero if there is none. A restore of the table
+	// assigns later versions again, so that it identifies a change only together with the
+	// content.
 	Version spoketable.Version
-	Era     spoketable.Era
-}
-
-// isSame reports whether two reads have found the same change of a row.
-func (s StatusRow) isSame(other StatusRow) bool {
-	return s.Version == other.Version && s.Era == other.Era
 }
 
 // Decision is a change in the state of a rollout, for logs.
--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -59,6 +59,9 @@
 	barred     map[string]map[string]orderKey
 	references map[referenceKey]*reference
 	told       evidenceStore
+	// ended are orders that were withdrawn or replaced here, so that what peers still tell
+	// of them says nothing of later orders of the same version.
+	ended map[orderKey]bool
 }
 
 // referenceKey identifies the measurements of one route.
@@ -82,6 +85,15 @@
 	emptySince spokeclock.Millis
 	// newAnswerAt is when the newest answer of the ordered version became known, or zero.
 	newAnswerAt spokeclock.Millis
+	// isReady is set when nothing stands against writing that the rollout has succeeded. It
+	// has succeeded once the row is read, which binds all instances.
+	isReady bool
+	// isUnproven is set when the status is due and too little is known of the version. It
+	// is rolled back once the row is read, as another instance may know more.
+	isUnproven bool
+	// isLost is set if a restore of the table has lost the order, which holds until its
+	// time limit.
+	isLost bool
 	// prior is the status row from before the order. It doesn't bind this one.
 	prior    StatusRow
 	hasPrior bool
@@ -110,12 +122,13 @@
 	now := r.Clock.Now()
 	for service, known := range r.rollouts {
 		order, isOrdered := orders[service]
-		isLost := !isOrdered && isRestored && now-known.startedAt < known.order.TimeLimit
+		known.isLost = !isOrdered && (isRestored || known.isLost) && now-known.startedAt < known.order.TimeLimit
 		switch {
 		case isOrdered && order.To == known.order.To:
 			known.order.TimeLimit = order.TimeLimit
-		case !isLost:
+		case !known.isLost:
 			delete(r.rollouts, service)
+			r.recordEnd(known)
 			r.report(known, "the order was withdrawn or replaced")
 		}
 	}
@@ -128,11 +141,22 @@
 	r.updateRules()
 }
 
+// maxEnded bounds the ended orders that are remembered.
+const maxEnded = 1024
+
+func (r *Rollouts) recordEnd(ended *rollout) {
+	if len(r.ended) >= maxEnded {
+		clear(r.ended)
+	}
+	r.ended[ended.key] = true
+}
+
 func (r *Rollouts) initialise() {
 	if r.rollouts == nil {
 		r.rollouts = make(map[string]*rollout)
 		r.statuses = make(map[string]StatusRow)
 		r.barred = make(map[string]map[string]orderKey)
+		r.ended = make(map[orderKey]bool)
 		r.references = make(map[referenceKey]*reference)
 	}
 }
@@ -175,9 +199,24 @@
 }
 
 // binds reports whether a status row has the final state of a rollout.
-func (r *Rollouts) binds(running *rollout, row StatusRow) bool {
-	isPrior := running.hasPrior && running.prior.isSame(row)
-	return row.To == running.order.To && row.State.isFinal() && !isPrior
+func (*Rollouts) binds(running *rollout, row StatusRow) bool {
+	return row.To == running.order.To && row.State.isFinal() && !running.isPrior(row)
+}
+
+// isPrior reports whether a status row is from before the order.
+func (r *rollout) isPrior(row StatusRow) bool { return r.hasPrior && r.prior == row }
+
+// wanted returns what the status row should say.
+func (r *rollout) wanted() Status {
+	state := r.state
+	switch {
+	case state.isFinal():
+	case r.isReady:
+		state = StateSucceeded
+	case r.isUnproven:
+		state = StateRolledBack
+	}
+	return Status{State: state, To: r.order.To}
 }
 
 // conclude ends a rollout.
@@ -298,9 +337,8 @@
 		}
 		return Status{}, false
 	}
-	next := Status{State: running.state, To: running.order.To}
-	isPrior := running.hasPrior && running.prior.isSame(row)
-	return next, next != row.Status || isPrior
+	next := running.wanted()
+	return next, next != row.Status || running.isPrior(row)
 }
 
 // Pending returns the services whose status row differs from what this instance would
@@ -310,9 +348,7 @@
 	defer r.mutex.Unlock()
 	var services []string
 	for service, running := range r.rollouts {
-		row := r.statuses[service]
-		isPrior := running.hasPrior && running.prior.isSame(row)
-		if isPrior || row.Status != (Status{State: running.state, To: running.order.To}) {
+		if row := r.statuses[service]; running.isPrior(row) || row.Status != running.wanted() {
 			services = append(services, service)
 		}
 	}
