--- a/spokerollout/check.go
+++ b/spokerollout/check.go
@@ -70,6 +70,8 @@
 func (r *Rollouts) check(running *rollout) {
 	now := r.Clock.Now()
 	if state := r.peersState(running); state.isFinal() {
+		// Peers tell of a success only after they have read it.
+		running.isWritten = state == StateSucceeded
 		r.conclude(running, state, "a peer says so")
 		return
 	}
--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -88,6 +88,8 @@
 	// isReady is set when nothing stands against writing that the rollout has succeeded. It
 	// has succeeded once the row is read, which binds all instances.
 	isReady bool
+	// isWritten is set once a status row had the final state.
+	isWritten bool
 	// isUnproven is set when the status is due and too little is known of the version. It
 	// is rolled back once the row is read, as another instance may know more.
 	isUnproven bool
@@ -183,7 +185,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.initialise()
-	r.statuses = maps.Clone(statuses)
+	clear(r.statuses)
+	maps.Copy(r.statuses, statuses)
 	for _, running := range r.rollouts {
 		r.applyStatus(running)
 	}
@@ -193,7 +196,11 @@
 // applyStatus takes over a final state that another instance has written.
 func (r *Rollouts) applyStatus(running *rollout) {
 	row := r.statuses[running.key.service]
-	if r.binds(running, row) && running.state != row.State {
+	if !r.binds(running, row) {
+		return
+	}
+	running.isWritten = true
+	if running.state != row.State {
 		r.conclude(running, row.State, "the status row says so")
 	}
 }
@@ -330,14 +337,18 @@
 	if !isOrdered {
 		return Status{}, false
 	}
+	r.statuses[service] = row
+	r.applyStatus(running)
+	r.updateRules()
 	if r.binds(running, row) {
-		if running.state != row.State {
-			r.conclude(running, row.State, "the status row says so")
-			r.updateRules()
-		}
 		return Status{}, false
 	}
 	next := running.wanted()
+	isBegun := row.State == StateRunning && row.To == next.To && !running.isPrior(row)
+	if next.State.isFinal() && !running.isWritten && !isBegun {
+		// Each rollout begins before it ends, also if it is judged before the first write.
+		next.State = StateRunning
+	}
 	return next, next != row.Status || running.isPrior(row)
 }
 
