--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -42,6 +42,7 @@
 	r.observer.end(ctx, err)
 	if err != nil {
 		r.failedVersion = attempt.Instance().SoftwareVersion
+		r.isUnrecorded = spokeerror.KindOf[Kind](err) == KindNotRecorded
 	}
 	if err != nil && isMoveCause(context.Cause(ctx)) {
 		err = spokeerror.New("run attempt", KindMoved, context.Cause(ctx))
--- a/spokecore/rollout.go
+++ b/spokecore/rollout.go
@@ -25,11 +25,18 @@
 	case r.softwareVersion.Load() != nil:
 		return keepCandidates(candidates, func(c spokeroute.Candidate) bool { return !filter.Bars(c.SoftwareVersion) })
 	}
+	instead := keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.AllowsInstead(c.SoftwareVersion) })
+	if r.isUnrecorded {
+		// While streams can't be recorded, only those of the service's base can begin.
+		if others := keepCandidates(instead, func(c spokeroute.Candidate) bool { return c.SoftwareVersion != r.failedVersion }); len(others) > 0 {
+			return others
+		}
+	}
 	allowed := keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.Allows(c.SoftwareVersion) })
 	if r.hasUsable(allowed, filter) {
 		return allowed
 	}
-	return keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.AllowsInstead(c.SoftwareVersion) })
+	return instead
 }
 
 // hasUsable reports whether one of the candidates can serve the request. Old servers count
@@ -60,6 +67,7 @@
 const pacedEvents = 8
 
 // answerObserver reports how the answer to one attempt goes. It is used by one goroutine.
+// Nil reports nothing.
 type answerObserver struct {
 	clock      *spokeclock.Clock
 	recordFunc func(spokerollout.Answer)
@@ -75,6 +83,9 @@
 }
 
 func (r *requestRun) newAnswerObserver(attempt *spokebackend.Attempt) *answerObserver {
+	if r.core.RecordAnswerFunc == nil {
+		return nil
+	}
 	return &answerObserver{
 		clock: r.core.Clock, recordFunc: r.core.RecordAnswerFunc, sentAt: r.core.Clock.Now(),
 		answer: spokerollout.Answer{Service: r.request.Service.Name, Route: r.request.Route.Name, Version: attempt.Instance().SoftwareVersion},
@@ -83,7 +94,7 @@
 
 // begin reports that the answer has begun or, if it is no stream, is complete.
 func (o *answerObserver) begin(isFailed bool) {
-	if o.recordFunc == nil || o.isReported {
+	if o == nil || o.isReported {
 		return
 	}
 	o.isReported = true
@@ -94,7 +105,7 @@
 
 // recordEvent takes note of an event that has arrived, and endEvent that the caller has it.
 func (o *answerObserver) recordEvent() {
-	if o.recordFunc == nil {
+	if o == nil {
 		return
 	}
 	if !o.isReported {
@@ -109,7 +120,7 @@
 }
 
 func (o *answerObserver) endEvent() {
-	if o.recordFunc != nil {
+	if o != nil {
 		o.readyAt = o.clock.Now()
 	}
 }
@@ -123,7 +134,7 @@
 // end reports the end of the attempt. An attempt that was not sent, was refused or was
 // ended for a reason of this process's own tells nothing of the server.
 func (o *answerObserver) end(ctx context.Context, err error) {
-	if o.recordFunc == nil {
+	if o == nil {
 		return
 	}
 	if o.pauses > 0 && o.pauses < pacedEvents {
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -71,6 +71,8 @@
 	// rollout, and failedVersion the version of the server at which an attempt has failed.
 	versionDraw   float64
 	failedVersion string
+	// isUnrecorded is whether the stream could not be recorded at that version.
+	isUnrecorded bool
 	// observer reports how the answer to the present attempt goes.
 	observer *answerObserver
 	// movedFrom is the server that still holds the KV cache of an answer that is
--- a/spokerollout/answers.go
+++ b/spokerollout/answers.go
@@ -49,6 +49,7 @@
 }
 
 func (r *Rollouts) count(running *rollout, answer Answer, now spokeclock.Millis) {
+	r.counts = nil
 	isNew := answer.Version == running.order.To
 	add := func(what metric) {
 		running.cells[cellKey{stage: running.stage, isNew: isNew, metric: what, route: answer.Route}]++
@@ -128,12 +129,20 @@
 // maxAgeAfterLimit is the time after an order's limit for which its age is still told.
 const maxAgeAfterLimit = 20 * spokeclock.Second
 
-// Counts returns this instance's counters, to send to its peers.
+// Counts returns this instance's counters, to send to its peers. The caller must not change
+// them. It is called for each link.
 func (r *Rollouts) Counts() map[string]int64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	counts := make(map[string]int64)
 	now := r.Clock.Now()
+	if r.counts == nil || r.countsAt != now/ageUnit {
+		r.counts, r.countsAt = r.collectCounts(now), now/ageUnit
+	}
+	return r.counts
+}
+
+func (r *Rollouts) collectCounts(now spokeclock.Millis) map[string]int64 {
+	counts := make(map[string]int64)
 	for _, versions := range r.barred {
 		for _, key := range versions {
 			counts[key.prefix()+countBad] = 1
--- a/spokerollout/check.go
+++ b/spokerollout/check.go
@@ -60,8 +60,9 @@
 		for id, told := range source.orders {
 			running := r.rollouts[id.service]
 			isOrdered := running != nil && running.order.To == id.to
-			if told.bad > 0 && !isOrdered {
+			if told.bad > 0 && !isOrdered && r.barred[id.service][id.to] != id {
 				r.bar(id)
+				r.counts = nil
 			}
 		}
 	}
@@ -78,6 +79,7 @@
 	cells := r.evidence(running)
 	found := judge(cells)
 	if found.isBad {
+		running.isFirstHand = true
 		r.conclude(running, StateRolledBack, found.reason)
 		return
 	}
@@ -90,6 +92,7 @@
 	isLastCall := age >= plan.begins[stageAll]
 	switch {
 	case isLastCall && found.isBadAtLastCall:
+		running.isFirstHand = true
 		r.conclude(running, StateRolledBack, found.reason)
 		return
 	case age >= plan.finish && !running.isUnproven:
--- a/spokerollout/order.go
+++ b/spokerollout/order.go
@@ -55,8 +55,9 @@
 	State State
 	Stage int
 	Share float64
-	// Reason says why.
-	Reason string
+	// Reason says why. IsFirstHand is set if it is a verdict of this instance's own.
+	Reason      string
+	IsFirstHand bool
 	// Age is the time since the order.
 	Age spokeclock.Millis
 	// EvidenceAge is the age of the newest answer of the ordered version that is known.
--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -62,6 +62,10 @@
 	// ended are orders that were withdrawn or replaced here, so that what peers still tell
 	// of them says nothing of later orders of the same version.
 	ended map[orderKey]bool
+	// counts are the counters as of countsAt, in units of ageUnit. Nil means that they have
+	// changed.
+	counts   map[string]int64
+	countsAt spokeclock.Millis
 }
 
 // referenceKey identifies the measurements of one route.
@@ -79,8 +83,10 @@
 	state     State
 	reason    string
 	decidedAt spokeclock.Millis
-	stage     int
-	stageAt   spokeclock.Millis
+	// isFirstHand is whether this instance has found the version bad by itself.
+	isFirstHand bool
+	stage       int
+	stageAt     spokeclock.Millis
 	// emptySince is since when the old servers are empty in the last stage, or zero.
 	emptySince spokeclock.Millis
 	// newAnswerAt is when the newest answer of the ordered version became known, or zero.
@@ -140,6 +146,7 @@
 		}
 	}
 	r.hasOrders = true
+	r.counts = nil
 	r.updateRules()
 }
 
@@ -229,6 +236,7 @@
 // conclude ends a rollout.
 func (r *Rollouts) conclude(running *rollout, state State, reason string) {
 	running.state, running.decidedAt = state, r.Clock.Now()
+	r.counts = nil
 	if state == StateRolledBack {
 		r.bar(running.key)
 	} else {
@@ -253,7 +261,7 @@
 	}
 	now := r.Clock.Now()
 	d := Decision{
-		Service: running.key.service, To: running.order.To, State: running.state, Stage: running.stage, Share: r.shareOf(running), Reason: reason, Age: now - running.startedAt,
+		Service: running.key.service, To: running.order.To, State: running.state, Stage: running.stage, Share: r.shareOf(running), Reason: reason, IsFirstHand: running.isFirstHand, Age: now - running.startedAt,
 	}
 	if running.newAnswerAt > 0 {
 		d.EvidenceAge = now - running.newAnswerAt
--- a/spokerollout/schedule.go
+++ b/spokerollout/schedule.go
@@ -17,9 +17,10 @@
 	// canaryPart is the part of the bound on exposure that is used while nothing is known,
 	// so that chance and retries don't exceed the bound.
 	canaryPart = 0.7
-	// writeMargin is the time before the limit at which the final status is written. It
-	// has to be there a second before the limit, and the table takes its time.
-	writeMargin = 1500 * spokeclock.Millis(1)
+	// writeMargin is the time before the limit at which the final status is due. It has to
+	// be there a second before the limit, and both the order and the status take their time
+	// through the table.
+	writeMargin = 2 * spokeclock.Second
 	// Old servers get the time of the longest answer that was seen to run empty. It is at
 	// least minDrain, in which a version that is bad under the whole load shows, and at
 	// most maxDrain, which is what the longest usual answers take.
