spokeforecast: servers' usual and momentary speeds enter the forecast

Cause: the forecast of the first token took all servers of a service for equally fast unless one was slower than the median at this very moment, and forgot that within seconds. A momentary slowness counted twice: as the slowness and as the reduced traffic share that follows it.

Change: a model of each server's run holds its usual time between events, fitted from whole blocks of gaps, and the smoothed fourth figure of the load header, which was dropped. Gaps are compared at the batch of the server. The forecast multiplies the usual delay by the momentary one or by the inverse of the traffic share, whichever is greater. The traffic share falls on momentary slowness, compared with what is usual at the server. A server that starts again under its name starts anew; without evidence factors are 1.

--- a/spokebackend/attempt.go
+++ b/spokebackend/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeforecast"
 )
 
 // Attempt is one attempt in flight at a server. It is used by one goroutine.
@@ -12,6 +13,7 @@
 	instance    spokecloud.Instance
 	longAnswer  bool
 	lastTokenAt spokeclock.Millis
+	blocks      spokeforecast.Blocks
 	// prefillTokens is the number of prompt tokens that the server has not
 	// processed.
 	prefillTokens int
@@ -83,7 +85,8 @@
 	if first {
 		a.finishPrefill()
 	} else {
-		a.server.recordGap(a, r.medianGap(a.instance.Service), now)
+		a.server.recordGap(a, r.batchOf(a.server), r.medianGap(a.instance.Service), now)
+		a.blocks.Add(&a.server.model, now-a.lastTokenAt, r.batchOf(a.server), now)
 	}
 	a.lastTokenAt = now
 }
@@ -95,7 +98,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	a.server.recordStall(now-a.lastTokenAt, r.medianGap(a.instance.Service), now)
+	a.server.recordStall(now-a.lastTokenAt, r.batchOf(a.server), r.medianGap(a.instance.Service), now)
 }
 
 // Slowness returns the ratio of the server's average time between tokens to the
@@ -147,6 +150,7 @@
 	defer r.mutex.Unlock()
 	delete(r.removalFuncs[a.instance.Name], a)
 	a.finishPrefill()
+	a.blocks.End(&a.server.model, r.Clock.Now())
 	a.server.inFlight--
 	if a.longAnswer {
 		a.server.longInFlight--
--- a/spokebackend/gap.go
+++ b/spokebackend/gap.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokeforecast"
 )
 
 const (
@@ -20,7 +21,8 @@
 
 // tokenGaps is the time between a server's tokens. A process that has waited for the
 // processor, here or at the server, reads or sends several tokens at once; such a burst
-// counts as one gap, of its time per token.
+// counts as one gap, of its time per token. All gaps but the length of a burst are those at a
+// batch of no other request, so that servers with different batches can be compared.
 type tokenGaps struct {
 	// averageGap is the moving average in milliseconds. It is valid if gapUpdatedAt is
 	// not zero.
@@ -41,15 +43,19 @@
 	// length is the time from the token before the burst to its last one.
 	length spokeclock.Millis
 	tokens int
+	// batch is the batch of the server at the beginning.
+	batch int
 }
 
-func (b burst) gap() float64 { return float64(b.length) / float64(b.tokens) }
+func (b burst) gap() float64 {
+	return float64(b.length) / float64(b.tokens) / spokeforecast.BatchFactor(b.batch)
+}
 
 // recordGap updates the moving average with the time since the last token of an attempt.
 // Of concurrent answers, only gaps that don't overlap count, as one delay stretches all
 // of them. Of two gaps in a row the shorter one counts: a server that has slowed down has
 // several long ones.
-func (g *tokenGaps) recordGap(a *Attempt, median float64, now spokeclock.Millis) {
+func (g *tokenGaps) recordGap(a *Attempt, batch int, median float64, now spokeclock.Millis) {
 	gap := now - a.lastTokenAt
 	switch isBuffered := gap < burstGap; {
 	case isBuffered && g.burst.attempt != a:
@@ -61,7 +67,7 @@
 		return
 	default:
 		g.endBurst(median)
-		g.burst = burst{attempt: a, beganAt: now, length: gap, tokens: 1}
+		g.burst = burst{attempt: a, beganAt: now, length: gap, tokens: 1, batch: batch}
 	}
 	g.countedUntil = now
 	counted := min(g.burst.gap(), cmp.Or(g.gapBefore, max(g.averageBefore, median), g.burst.gap()))
@@ -70,9 +76,9 @@
 
 // recordStall updates the moving average with the time since the last token although no
 // token has arrived.
-func (g *tokenGaps) recordStall(silence spokeclock.Millis, median float64, now spokeclock.Millis) {
+func (g *tokenGaps) recordStall(silence spokeclock.Millis, batch int, median float64, now spokeclock.Millis) {
 	g.endBurst(median)
-	g.gapBefore = float64(silence)
+	g.gapBefore = float64(silence) / spokeforecast.BatchFactor(batch)
 	counted := g.gapBefore
 	if usual := max(g.averageBefore, median); usual > 0 {
 		counted = min(counted, maxStallRatio*usual)
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -66,6 +66,8 @@
 	dataCentreInFlight map[string]dataCentreInFlight
 	// medianGaps are the median times between tokens, by service.
 	medianGaps map[string]cachedMedian
+	// usualGaps are the medians of the models' usual times between tokens, by service.
+	usualGaps map[string]cachedMedian
 	// lastResponses is when a server of each data centre last sent part of a
 	// response.
 	lastResponses map[string]spokeclock.Millis
@@ -338,6 +340,7 @@
 		s.load = load
 		s.load.Running, s.load.Waiting, s.load.Slots = boundedReport(load.Running), boundedReport(load.Waiting), boundedReport(load.Slots)
 		s.loadMeasuredAt = r.Clock.Now() - min(max(0, load.Age), maxReportAge)
+		s.model.RecordWorkTime(load.WorkTime, r.Clock.Now())
 	}
 }
 
--- a/spokebackend/server.go
+++ b/spokebackend/server.go
@@ -6,6 +6,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
+	"mulberryspoke.example/mulberryspoke/spokeforecast"
 	"mulberryspoke.example/mulberryspoke/spokethrottle"
 )
 
@@ -60,7 +61,7 @@
 	slowTrafficShare    = 0.1
 	shareGrowthFactor   = 2.0
 	shareGrowthInterval = spokeclock.Second
-	// slowThreshold is the slowness from which a server counts as slow.
+	// slowThreshold is the momentary delay from which a server counts as slow.
 	slowThreshold = 2.5
 )
 
@@ -86,6 +87,7 @@
 	load           spokeengine.Load
 	loadMeasuredAt spokeclock.Millis
 	tokenGaps
+	model          spokeforecast.Server
 	failures       int
 	suspendedUntil spokeclock.Millis
 	// pausedUntil is until when the server has asked for no requests.
@@ -176,10 +178,17 @@
 	return max(1, ratio)
 }
 
-// updateTrafficShare lowers a slow server's share of the traffic at once and
-// raises it again in steps.
-func (s *server) updateTrafficShare(slowness float64, now spokeclock.Millis) {
-	if slowness >= slowThreshold {
+// momentaryDelay returns how long work takes at this moment compared with what is usual at
+// the server, at least 1: by its answers or by its reports, whichever shows more. Both show
+// the same delay, so they are not multiplied.
+func (s *server) momentaryDelay(slowness, usualDelay float64, now spokeclock.Millis) float64 {
+	return max(1, slowness/max(1, usualDelay), s.model.MomentaryDelay(now))
+}
+
+// updateTrafficShare lowers the share of the traffic of a server that is slow for a moment
+// at once and raises it again in steps.
+func (s *server) updateTrafficShare(momentaryDelay float64, now spokeclock.Millis) {
+	if momentaryDelay >= slowThreshold {
 		s.trafficShare = slowTrafficShare
 		s.shareUpdatedAt = now
 		return
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -42,14 +42,14 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	median := r.medianGap(service)
+	gaps := r.gapsOf(service)
 	remote := r.remoteInFlight(service, now)
 	candidates := make([]spokeroute.Candidate, 0, len(r.servers))
 	for name, s := range r.servers {
 		if s.instance.Service != service {
 			continue
 		}
-		candidate := r.candidate(s, median, now)
+		candidate := r.candidate(s, gaps, now)
 		candidate.PrefixCached = name == prefixServer
 		candidate.InFlight += remote[s.instance.DataCentre]
 		candidates = append(candidates, candidate)
@@ -58,10 +58,12 @@
 	return candidates
 }
 
-func (r *Registry) candidate(s *server, median float64, now spokeclock.Millis) spokeroute.Candidate {
+func (r *Registry) candidate(s *server, gaps medianGaps, now spokeclock.Millis) spokeroute.Candidate {
 	peers := r.peerTotals[IDOf(s.instance.Name)]
-	slowness := s.slowness(median, now)
-	s.updateTrafficShare(slowness, now)
+	slowness := s.slowness(gaps.recent, now)
+	usualDelay := s.model.DelayFactor(gaps.usual, now)
+	momentaryDelay := s.momentaryDelay(slowness, usualDelay, now)
+	s.updateTrafficShare(momentaryDelay, now)
 	return spokeroute.Candidate{
 		Name: s.instance.Name, DataCentre: s.instance.DataCentre, SoftwareVersion: s.instance.SoftwareVersion,
 		Local:          s.instance.DataCentre == r.DataCentre,
@@ -75,6 +77,8 @@
 		ReportAge:      now - s.loadMeasuredAt,
 		Slowness:       slowness,
 		TrafficShare:   s.trafficShare,
+		UsualDelay:     usualDelay,
+		MomentaryDelay: momentaryDelay,
 		PrefillBacklog: s.prefillBacklog + peers.PrefillUnits*tokensPerPrefillUnit,
 	}
 }
@@ -123,33 +127,60 @@
 	computedAt spokeclock.Millis
 }
 
+// medianGaps are the medians of a service's servers, in milliseconds, or zero: of the recent
+// times between tokens and of the usual ones.
+type medianGaps struct {
+	recent, usual float64
+}
+
+func (r *Registry) gapsOf(service string) medianGaps {
+	return medianGaps{recent: r.medianGap(service), usual: r.medianUsualGap(service)}
+}
+
 // medianGap returns the median time between tokens of a service's servers, in
 // milliseconds. It may be as old as medianMaxAge.
 func (r *Registry) medianGap(service string) float64 {
-	now := r.Clock.Now()
-	if cached, found := r.medianGaps[service]; found && now-cached.computedAt < medianMaxAge {
-		return cached.gap
-	}
 	if r.medianGaps == nil {
 		r.medianGaps = make(map[string]cachedMedian)
 	}
-	gap := r.computeMedianGap(service)
-	r.medianGaps[service] = cachedMedian{gap: gap, computedAt: now}
-	return gap
+	return r.median(r.medianGaps, service, func(s *server) (float64, bool) { return s.averageGap, s.gapUpdatedAt > 0 })
 }
 
-func (r *Registry) computeMedianGap(service string) float64 {
+// medianUsualGap returns the median of the usual times between tokens of a service's
+// servers, in milliseconds. It may be as old as medianMaxAge.
+func (r *Registry) medianUsualGap(service string) float64 {
+	if r.usualGaps == nil {
+		r.usualGaps = make(map[string]cachedMedian)
+	}
+	return r.median(r.usualGaps, service, func(s *server) (float64, bool) { return s.model.Gap(), s.model.HasGap() })
+}
+
+// median returns the median of a service's servers for which gapFunc returns true, from the
+// cache unless it is too old there.
+func (r *Registry) median(cache map[string]cachedMedian, service string, gapFunc func(*server) (float64, bool)) float64 {
+	now := r.Clock.Now()
+	if cached, found := cache[service]; found && now-cached.computedAt < medianMaxAge {
+		return cached.gap
+	}
 	var gaps []float64
 	for _, s := range r.servers {
-		if s.instance.Service == service && s.gapUpdatedAt > 0 {
-			gaps = append(gaps, s.averageGap)
+		if gap, known := gapFunc(s); known && s.instance.Service == service {
+			gaps = append(gaps, gap)
 		}
 	}
-	if len(gaps) == 0 {
-		return 0
+	median := 0.0
+	if len(gaps) > 0 {
+		slices.Sort(gaps)
+		median = gaps[(len(gaps)-1)/2]
 	}
-	slices.Sort(gaps)
-	return gaps[(len(gaps)-1)/2]
+	cache[service] = cachedMedian{gap: median, computedAt: now}
+	return median
+}
+
+// batchOf returns the number of requests that a server runs at once, as far as this process
+// knows from its own and its peers' requests in flight.
+func (r *Registry) batchOf(s *server) int {
+	return min(r.slotsOf(s), s.inFlight+r.peerTotals[IDOf(s.instance.Name)].Requests)
 }
 
 // Capacity returns the capacity of a service's live servers: those that are
@@ -215,11 +246,11 @@
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
 	statuses := make([]ServerStatus, 0, len(r.servers))
-	medians := make(map[string]float64)
+	medians := make(map[string]medianGaps)
 	for _, s := range r.servers {
 		median, found := medians[s.instance.Service]
 		if !found {
-			median = r.medianGap(s.instance.Service)
+			median = r.gapsOf(s.instance.Service)
 			medians[s.instance.Service] = median
 		}
 		statuses = append(statuses, ServerStatus{instance: s.instance, removalSource: s.removalSource, candidate: r.candidate(s, median, now)})
--- a/spokeengine/message.go
+++ b/spokeengine/message.go
@@ -57,6 +57,9 @@
 	Waiting int `json:"waiting"`
 	// Age is the age of the report.
 	Age spokeclock.Millis `json:"age_millis"`
+	// WorkTime is how long work takes at this moment, in percent of what is usual. Zero
+	// means that it is not known.
+	WorkTime int `json:"work_time_percent,omitempty"`
 }
 
 // CacheMoveRequest asks an engine to import the KV cache of an attempt from
--- a/spokeroute/candidate.go
+++ b/spokeroute/candidate.go
@@ -39,6 +39,12 @@
 	// TrafficShare is the fraction of its normal traffic that it may get, above
 	// 0 and up to 1. It is lowered while the server is slow.
 	TrafficShare float64
+	// UsualDelay is how long work usually takes at it, as a ratio to the median of its
+	// service's servers. Zero means that it is not known.
+	UsualDelay float64
+	// MomentaryDelay is how long work takes at this moment, as a ratio to what is usual at
+	// it. Zero means that it is not known.
+	MomentaryDelay float64
 	// PrefixCached is true if it probably has the request's prefix in its cache.
 	PrefixCached bool
 	// PrefillBacklog is the number of prompt tokens that it has yet to process.
--- a/spokeroute/forecast.go
+++ b/spokeroute/forecast.go
@@ -1,6 +1,7 @@
 package spokeroute
 
 import (
+	"cmp"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
@@ -145,9 +146,8 @@
 
 // firstTokenMillis returns the expected time to the first token, in
 // milliseconds, of a request of which the server has to process prefillTokens:
-// the prefill, the delay by running requests and the wait for a slot, each
-// longer on a server that is slow or has a reduced traffic share, and the
-// penalties of its data centre.
+// the prefill, the delay by running requests and the wait for a slot, each as
+// long as delayFactor tells, and the penalties of its data centre.
 func firstTokenMillis(c Candidate, prefillTokens int) float64 {
 	slots := float64(c.Slots)
 	if slots <= 0 {
@@ -156,7 +156,7 @@
 	load := float64(estimatedLoad(c))
 	prefill := float64(c.PrefillBacklog+prefillTokens) / prefillRate
 	waiting := max(0, load+1-queueingLoad*slots) * slotDelay
-	total := (prefill + load*runningDelay + waiting) * max(1, c.Slowness) / max(minTrafficShare, c.TrafficShare)
+	total := (prefill + load*runningDelay + waiting) * delayFactor(c)
 	if !c.Local {
 		total += remoteDelay
 	}
@@ -165,3 +165,10 @@
 	}
 	return total
 }
+
+// delayFactor returns how long work takes at a server, as a ratio to the median of its
+// service's servers. A momentary delay and the reduced traffic share that follows it are
+// the same slowness: the greater one counts.
+func delayFactor(c Candidate) float64 {
+	return cmp.Or(c.UsualDelay, 1) * max(1, c.MomentaryDelay, 1/max(minTrafficShare, c.TrafficShare))
+}
