--- a/spokebackend/attempt.go
+++ b/spokebackend/attempt.go
@@ -106,8 +106,9 @@
 		a.recordFirst(now)
 		a.finishPrefill()
 	} else {
-		a.server.recordGap(a, r.batchOf(a.server), r.medianGap(a.instance.Service), now)
-		a.blocks.Add(&a.server.model, now-a.lastTokenAt, r.batchOf(a.server), now)
+		batch := r.batchOf(a.server)
+		a.server.recordGap(a, batch, r.medianGap(a.instance.Service), now)
+		a.blocks.Add(&a.server.model, now-a.lastTokenAt, batch, now)
 	}
 	a.lastTokenAt = now
 }
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -9,6 +9,7 @@
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
 	"mulberryspoke.example/mulberryspoke/spokeforecast"
+	"mulberryspoke.example/mulberryspoke/spokeroute"
 	"mulberryspoke.example/mulberryspoke/spokethrottle"
 )
 
@@ -50,6 +51,10 @@
 	// ClosedFunc, if set, is called when a server gets no new requests from now on,
 	// with the source that reported it. It must not call the registry.
 	ClosedFunc func(instance spokecloud.Instance, source RemovalSource)
+	// ShareChangedFunc, if set, is called when the traffic share of a server falls below 1
+	// or is 1 again, with the state on which that rests and the age of its latest evidence.
+	// It must not call the registry.
+	ShareChangedFunc func(candidate spokeroute.Candidate, evidenceAge spokeclock.Millis)
 
 	mutex   sync.Mutex
 	servers map[string]*server
--- a/spokebackend/speeds_test.go
+++ b/spokebackend/speeds_test.go
@@ -359,3 +359,42 @@
 	}
 	return spokeroute.Candidate{}
 }
+
+// TestMomentarySlowness guards against new work for a server that reports to be slow at this
+// moment, against giving it all back at once, and against more log lines than changes.
+func TestMomentarySlowness(t *testing.T) {
+	var clock spokeclock.Manual
+	clock.Advance(1)
+	var changes []bool
+	registry := &spokebackend.Registry{DataCentre: "a", Clock: clock.Clock(), ListIsAuthoritative: true, ShareChangedFunc: func(candidate spokeroute.Candidate, _ spokeclock.Millis) {
+		changes = append(changes, candidate.TrafficShare < 1)
+	}}
+	registry.UpdateInstances([]spokecloud.Instance{newServer("x"), newServer("y")})
+	policy := spokeroute.Policy{Routing: spokeconfig.RoutingEarliestFirstToken, Random: rand.New(rand.NewPCG(1, 1))}
+	chosen := func() int {
+		count := 0
+		for range 100 {
+			if policy.Choose(registry.Candidates("s", ""), spokeroute.Request{PromptTokens: 500, EntryInstances: 1}).Server() == "x" {
+				count++
+			}
+		}
+		return count
+	}
+	require.InDelta(t, 50, chosen(), 20)
+	for range 4 {
+		clock.Advance(50)
+		registry.RecordLoad("x", spokeengine.Load{Slots: 4, WorkTime: 400})
+	}
+	require.Zero(t, chosen())
+	var shares []float64
+	for range 8 {
+		for range 4 {
+			clock.Advance(250)
+			registry.RecordLoad("x", spokeengine.Load{Slots: 4, WorkTime: 100})
+		}
+		shares = append(shares, candidateOf(registry, "x").TrafficShare)
+	}
+	require.InDeltaSlice(t, []float64{0.2, 0.4, 0.8, 1, 1, 1, 1, 1}, shares, 0.001)
+	require.InDelta(t, 50, chosen(), 20)
+	require.Equal(t, []bool{true, false}, changes)
+}
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -66,8 +66,9 @@
 	slowness := s.slowness(gaps.recent, now)
 	usualDelay := s.model.DelayFactor(gaps.usual, now)
 	momentaryDelay := s.momentaryDelay(slowness, usualDelay, now)
+	wasReduced := s.trafficShare < 1
 	s.updateTrafficShare(momentaryDelay, now)
-	return spokeroute.Candidate{
+	candidate := spokeroute.Candidate{
 		Name: s.instance.Name, DataCentre: s.instance.DataCentre, SoftwareVersion: s.instance.SoftwareVersion,
 		Local:          s.instance.DataCentre == r.DataCentre,
 		Draining:       r.isClosed(s, now),
@@ -84,6 +85,26 @@
 		MomentaryDelay: momentaryDelay,
 		PrefillBacklog: s.prefillBacklog + peers.PrefillUnits*tokensPerPrefillUnit,
 	}
+	if wasReduced != (s.trafficShare < 1) && r.ShareChangedFunc != nil {
+		r.ShareChangedFunc(candidate, now-max(s.gapUpdatedAt, s.loadMeasuredAt))
+	}
+	return candidate
+}
+
+// ModelCounts counts the servers whose usual speed is known, and those whose traffic share is
+// reduced since they are slow at this moment.
+func (r *Registry) ModelCounts() (known, slow int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, s := range r.servers {
+		if s.model.HasGap() {
+			known++
+		}
+		if s.trafficShare < 1 {
+			slow++
+		}
+	}
+	return known, slow
 }
 
 // LastResponseAt returns when a server of a data centre last sent part of a
--- a/spokecore/counters.go
+++ b/spokecore/counters.go
@@ -11,16 +11,19 @@
 	resumed   *metrics.Counter
 	replaced  *metrics.Counter
 	firstByte *metrics.Histogram
+	// forecastRatio is that of the times to first events to their forecasts.
+	forecastRatio *metrics.Histogram
 }
 
 // NewCounters returns counters that are registered in a set.
 func NewCounters(set *metrics.Set) *Counters {
 	return &Counters{
-		set:       set,
-		retried:   set.NewCounter("spoke_retried_requests_total"),
-		resumed:   set.NewCounter("spoke_resumed_answers_total"),
-		replaced:  set.NewCounter("spoke_replaced_answers_total"),
-		firstByte: set.NewHistogram("spoke_first_byte_seconds"),
+		set:           set,
+		retried:       set.NewCounter("spoke_retried_requests_total"),
+		resumed:       set.NewCounter("spoke_resumed_answers_total"),
+		replaced:      set.NewCounter("spoke_replaced_answers_total"),
+		firstByte:     set.NewHistogram("spoke_first_byte_seconds"),
+		forecastRatio: set.NewHistogram("spoke_first_event_forecast_ratio"),
 	}
 }
 
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -63,7 +63,11 @@
 	cannotResume  atomic.Bool
 	firstEventAt  atomic.Int64
 	prefillTokens int
-	eventCount    atomic.Int64
+	// chosenAt is when the last server was chosen, and forecast the time from then to the
+	// first event as expected by the forecast policy, in milliseconds, or zero.
+	chosenAt   spokeclock.Millis
+	forecast   float64
+	eventCount atomic.Int64
 	// softwareVersion is the version of the servers' software at which the stream began,
 	// or nil before.
 	softwareVersion atomic.Pointer[string]
@@ -122,7 +126,7 @@
 			return r.finalRefusal(ctx, KindQuarantined, cause)
 		}
 		r.triedServers = append(r.triedServers, decision.Server())
-		r.prefillTokens = decision.PrefillTokens()
+		r.recordForecast(decision)
 		r.recordEngineTime()
 		err := r.tryServer(deadlineCtx, decision.Server())
 		if err == nil {
@@ -214,6 +218,16 @@
 	return refusal
 }
 
+// recordForecast keeps what the choice of a server rests on. Only the forecast policy says how
+// many tokens of a prompt the server has to process.
+func (r *requestRun) recordForecast(decision spokeroute.Decision) {
+	r.prefillTokens = decision.PrefillTokens()
+	r.chosenAt, r.forecast = r.core.Clock.Now(), 0
+	if r.prefillTokens > 0 {
+		r.forecast = decision.Cost()
+	}
+}
+
 // recordEngineTime reports the time for which the request is expected to keep an
 // engine busy. It does so when the request is sent, as an overloaded service
 // answers fewer requests than it receives.
@@ -251,6 +265,9 @@
 	}
 	r.executionStarted = true
 	r.firstEventAt.Store(int64(r.core.Clock.Now()))
+	if r.forecast > 0 {
+		r.core.Counters.forecastRatio.Update(float64(r.core.Clock.Now()-r.chosenAt) / r.forecast)
+	}
 	if r.request.Workspace != nil && r.core.RequestStartedFunc != nil {
 		r.core.RequestStartedFunc(r.request.Workspace.Name)
 	}
@@ -270,6 +287,9 @@
 	if r.executionStarted {
 		firstEventDelay := spokeclock.Millis(r.firstEventAt.Load()) - r.startedAt
 		line = line.Int64("first_millis", int64(firstEventDelay))
+		if r.forecast > 0 {
+			line = line.Int64("forecast_millis", int64(r.forecast))
+		}
 		r.core.Counters.firstByte.Update(firstEventDelay.Duration().Seconds())
 	}
 	if refusal == nil {
--- a/spokeforecast/engine.go
+++ b/spokeforecast/engine.go
@@ -19,18 +19,16 @@
 	maxUsualBatch = 24
 )
 
-// Engine has the fitted figures of a service's engines at the median speed. The zero value
-// stands for those that hold without evidence.
+// Engine has the fitted figures of a service's engines at the median speed. Nil stands for
+// those that hold without evidence. It does not change.
 type Engine struct {
 	// prefillRate is in tokens a millisecond, runningDelay and firstDelay in milliseconds.
-	// They are valid if isFitted is set.
 	prefillRate, runningDelay, firstDelay float64
-	isFitted                              bool
 }
 
 // PrefillRate returns the number of prompt tokens that are processed in a millisecond.
-func (e Engine) PrefillRate() float64 {
-	if !e.isFitted {
+func (e *Engine) PrefillRate() float64 {
+	if e == nil {
 		return priorPrefillRate
 	}
 	return e.prefillRate
@@ -38,8 +36,8 @@
 
 // RunningDelay returns the delay of the first token, in milliseconds, by each running
 // request.
-func (e Engine) RunningDelay() float64 {
-	if !e.isFitted {
+func (e *Engine) RunningDelay() float64 {
+	if e == nil {
 		return priorRunningDelay
 	}
 	return e.runningDelay
@@ -47,7 +45,12 @@
 
 // FirstDelay returns the part of the time to the first token, in milliseconds, that depends
 // neither on the prompt nor on other requests.
-func (e Engine) FirstDelay() float64 { return e.firstDelay }
+func (e *Engine) FirstDelay() float64 {
+	if e == nil {
+		return 0
+	}
+	return e.firstDelay
+}
 
 // Time returns the time for which a request keeps an engine with the given number of slots
 // busy: the prefill of its prompt tokens, and for each answer token its part of a step,
@@ -81,6 +84,7 @@
 // Fit fits the figures of a service's engines to the times to the first events of answers,
 // by least squares with exponential forgetting. The zero value is ready for use.
 type Fit struct {
+	engine *Engine
 	// answers is the sum of the weights. The means and the sums of products of deviations
 	// from them follow.
 	answers                    float64
@@ -119,13 +123,15 @@
 	f.tokensLoad = forgetting*f.tokensLoad + rest*dTokens*dLoad
 	f.tokensDelay = forgetting*f.tokensDelay + rest*dTokens*dDelay
 	f.loadDelay = forgetting*f.loadDelay + rest*dLoad*dDelay
+	if f.answers >= minAnswers {
+		f.engine = f.solve()
+	}
 }
 
-// Engine returns the fitted figures.
-func (f *Fit) Engine() Engine {
-	if f.answers < minAnswers {
-		return Engine{}
-	}
+// Engine returns the fitted figures, or nil before there are enough answers.
+func (f *Fit) Engine() *Engine { return f.engine }
+
+func (f *Fit) solve() *Engine {
 	const perToken = 1 / priorPrefillRate
 	tokens2 := f.tokens2 + priorAnswers*priorTokens*priorTokens
 	load2 := f.load2 + priorAnswers*priorLoad*priorLoad
@@ -136,7 +142,7 @@
 	runningDelay := priorRunningDelay + (loadExcess*tokens2-tokensExcess*f.tokensLoad)/determinant
 	slope = boundedTo(slope, perToken)
 	runningDelay = boundedTo(runningDelay, priorRunningDelay)
-	return Engine{prefillRate: 1 / slope, runningDelay: runningDelay, firstDelay: max(0, f.delay-slope*f.tokens-runningDelay*f.load), isFitted: true}
+	return &Engine{prefillRate: 1 / slope, runningDelay: runningDelay, firstDelay: max(0, f.delay-slope*f.tokens-runningDelay*f.load)}
 }
 
 // boundedTo returns a figure within maxPriorRatio of the assumed one.
--- a/spokeforecast/server.go
+++ b/spokeforecast/server.go
@@ -26,12 +26,14 @@
 	maxDelayFactor = 4.0
 	// usualWorkTime is what a server reports whose work takes as long as usual.
 	usualWorkTime = 100.0
-	// workTimeWeight is the weight of a new report in the smoothed work time, and
-	// usualWorkTimeWeight that in the server's usual one.
-	workTimeWeight      = 0.3
-	usualWorkTimeWeight = 0.03
-	// maxWorkTime bounds a report.
-	maxWorkTime = 10 * usualWorkTime
+	// workTimeWeight is the weight of a new report in the smoothed work time.
+	workTimeWeight = 0.3
+	// usualHalfLife is the time in which the usual work time follows the reports by half,
+	// and maxUsualStep the part of it that one report stands for.
+	usualHalfLife = 30 * spokeclock.Second
+	maxUsualStep  = 5 * spokeclock.Second
+	// maxWorkTime bounds a report, so that one alone does not count as a slow server.
+	maxWorkTime = 4 * usualWorkTime
 	// workTimeHalfLife is the time without a report in which the excess of the smoothed
 	// work time halves.
 	workTimeHalfLife = 2 * spokeclock.Second
@@ -96,11 +98,12 @@
 	}
 	reported := min(float64(percent), maxWorkTime)
 	if s.reportedAt == 0 {
-		s.workTime, s.usualTime = usualWorkTime, usualWorkTime
+		s.workTime, s.usualTime, s.reportedAt = usualWorkTime, usualWorkTime, now
 	}
 	s.workTime = s.decayedWorkTime(now)
 	s.workTime += workTimeWeight * (reported - s.workTime)
-	s.usualTime += usualWorkTimeWeight * (reported - s.usualTime)
+	step := min(max(0, now-s.reportedAt), maxUsualStep)
+	s.usualTime += (1 - math.Exp2(-float64(step)/float64(usualHalfLife))) * (reported - s.usualTime)
 	s.reportedAt = now
 }
 
--- a/spokeroute/candidate.go
+++ b/spokeroute/candidate.go
@@ -48,8 +48,8 @@
 	// MomentaryDelay is how long work takes at this moment, as a ratio to what is usual at
 	// it. Zero means that it is not known.
 	MomentaryDelay float64
-	// Engine has the figures of its service's engines.
-	Engine spokeforecast.Engine
+	// Engine has the figures of its service's engines. Nil means those without evidence.
+	Engine *spokeforecast.Engine
 	// PrefixCached is true if it probably has the request's prefix in its cache.
 	PrefixCached bool
 	// PrefillBacklog is the number of prompt tokens that it has yet to process.
