spokeforecast: late reads don't change a server's usual speed

Cause: an observation of eight gaps could end inside a burst of events that were read late, by this process or since its caller didn't read, so that the server seemed slow.

Change: an observation ends before an event that was not buffered. Gaps in which a write to the caller took 10 ms or more don't count, nor does what was buffered meanwhile.

--- a/spokebackend/attempt.go
+++ b/spokebackend/attempt.go
@@ -113,6 +113,14 @@
 	a.lastTokenAt = now
 }
 
+// RecordSlowWrite records that the caller has not read what was sent for a while, so that the
+// times between tokens are not the server's.
+func (a *Attempt) RecordSlowWrite() {
+	a.registry.mutex.Lock()
+	defer a.registry.mutex.Unlock()
+	a.blocks.Skip()
+}
+
 // RecordStall records the time since the last token as a gap although no token
 // has arrived.
 func (a *Attempt) RecordStall() {
--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -8,9 +8,14 @@
 	"slices"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
 
+// slowWrite is the time for which a write to the caller takes so long that the server's next
+// events are read late. Writes take less than a millisecond while the caller reads.
+const slowWrite = 10 * spokeclock.Millis(1)
+
 // maxBufferedAnswer is the size in bytes up to which an answer is buffered
 // until it is complete, so that an incomplete one can still be retried.
 const maxBufferedAnswer = 256 << 10
@@ -107,7 +112,11 @@
 		if forwardErr = r.beginStream(ctx, attempt.Instance(), w); forwardErr != nil {
 			return forwardErr
 		}
+		writeStartedAt := r.core.Clock.Now()
 		forwardErr = r.forwardEvent(response, event, w)
+		if r.core.Clock.Now()-writeStartedAt >= slowWrite {
+			attempt.RecordSlowWrite()
+		}
 		if forwardErr == nil && r.allowMoveFromSlow(attempt) {
 			cancel(errServerSlow)
 		}
--- a/spokeforecast/server_test.go
+++ b/spokeforecast/server_test.go
@@ -1,6 +1,7 @@
 package spokeforecast_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,6 +17,8 @@
 	// batch. The median of its service is 40 at a batch of none.
 	Gaps  []spokeclock.Millis `yaml:"gaps"`
 	Batch int                 `yaml:"batch"`
+	// SlowWrites are the numbers of gaps before which the caller didn't read.
+	SlowWrites []int `yaml:"slow_writes"`
 	// WorkTimes are what the server reports, one every Interval.
 	WorkTimes []int             `yaml:"work_times"`
 	Interval  spokeclock.Millis `yaml:"interval_millis"`
@@ -36,7 +39,10 @@
 			var server spokeforecast.Server
 			var blocks spokeforecast.Blocks
 			now := spokeclock.Second
-			for _, gap := range c.Gaps {
+			for i, gap := range c.Gaps {
+				if slices.Contains(c.SlowWrites, i) {
+					blocks.Skip()
+				}
 				now += gap
 				blocks.Add(&server, gap, c.Batch, now)
 			}
