--- a/spokebackend/attempt.go
+++ b/spokebackend/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeforecast"
 )
 
 // Attempt is one attempt in flight at a server. It is used by one goroutine.
@@ -12,10 +13,14 @@
 	instance    spokecloud.Instance
 	longAnswer  bool
 	lastTokenAt spokeclock.Millis
+	blocks      spokeforecast.Blocks
 	// prefillTokens is the number of prompt tokens that the server has not
 	// processed.
 	prefillTokens int
-	ended         bool
+	// first is what the time to the first token is compared with, since beganAt.
+	first   spokeforecast.First
+	beganAt spokeclock.Millis
+	ended   bool
 }
 
 // BeginAttempt counts an attempt at a server. RemovalFunc is called from
@@ -64,6 +69,23 @@
 	defer a.registry.mutex.Unlock()
 	a.prefillTokens += tokens
 	a.server.prefillBacklog += tokens
+	r := a.registry
+	a.beganAt = r.Clock.Now()
+	peers := r.peerTotals[IDOf(a.instance.Name)]
+	a.first = spokeforecast.First{
+		Tokens: a.server.prefillBacklog + peers.PrefillUnits*tokensPerPrefillUnit, Load: a.server.inFlight + peers.Requests - 1,
+		Factor: a.server.model.DelayFactor(r.medianUsualGap(a.instance.Service), a.beganAt) * a.server.model.MomentaryDelay(a.beganAt),
+	}
+}
+
+// recordFirst records the time to the first token, unless the request may have waited for a
+// slot. The caller holds the registry's mutex.
+func (a *Attempt) recordFirst(now spokeclock.Millis) {
+	if a.prefillTokens <= 0 || a.first.Load >= a.registry.slotsOf(a.server) {
+		return
+	}
+	a.first.Delay = float64(now - a.beganAt)
+	a.registry.fitOf(a.instance.Service).Record(a.first)
 }
 
 // finishPrefill removes the attempt's prompt from the server's backlog. The
@@ -81,13 +103,24 @@
 	now := r.Clock.Now()
 	r.lastResponses[a.instance.DataCentre] = now
 	if first {
+		a.recordFirst(now)
 		a.finishPrefill()
 	} else {
-		a.server.recordGap(a, r.medianGap(a.instance.Service), now)
+		batch := r.batchOf(a.server)
+		a.server.recordGap(a, batch, r.medianGap(a.instance.Service), now)
+		a.blocks.Add(&a.server.model, now-a.lastTokenAt, batch, now)
 	}
 	a.lastTokenAt = now
 }
 
+// RecordSlowWrite records that the caller has not read what was sent for a while, so that the
+// times between tokens are not the server's.
+func (a *Attempt) RecordSlowWrite() {
+	a.registry.mutex.Lock()
+	defer a.registry.mutex.Unlock()
+	a.blocks.Skip()
+}
+
 // RecordStall records the time since the last token as a gap although no token
 // has arrived.
 func (a *Attempt) RecordStall() {
@@ -95,7 +128,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	a.server.recordStall(now-a.lastTokenAt, r.medianGap(a.instance.Service), now)
+	a.server.recordStall(now-a.lastTokenAt, r.batchOf(a.server), r.medianGap(a.instance.Service), now)
 }
 
 // Slowness returns the ratio of the server's average time between tokens to the
@@ -147,6 +180,7 @@
 	defer r.mutex.Unlock()
 	delete(r.removalFuncs[a.instance.Name], a)
 	a.finishPrefill()
+	a.blocks.End(&a.server.model, r.Clock.Now())
 	a.server.inFlight--
 	if a.longAnswer {
 		a.server.longInFlight--
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -8,6 +8,8 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
+	"mulberryspoke.example/mulberryspoke/spokeforecast"
+	"mulberryspoke.example/mulberryspoke/spokeroute"
 	"mulberryspoke.example/mulberryspoke/spokethrottle"
 )
 
@@ -49,6 +51,10 @@
 	// ClosedFunc, if set, is called when a server gets no new requests from now on,
 	// with the source that reported it. It must not call the registry.
 	ClosedFunc func(instance spokecloud.Instance, source RemovalSource)
+	// ShareChangedFunc, if set, is called when the traffic share of a server falls below 1
+	// or is 1 again, with the state on which that rests and the age of its latest evidence.
+	// It must not call the registry.
+	ShareChangedFunc func(candidate spokeroute.Candidate, evidenceAge spokeclock.Millis)
 
 	mutex   sync.Mutex
 	servers map[string]*server
@@ -66,6 +72,10 @@
 	dataCentreInFlight map[string]dataCentreInFlight
 	// medianGaps are the median times between tokens, by service.
 	medianGaps map[string]cachedMedian
+	// usualGaps are the medians of the models' usual times between tokens, by service.
+	usualGaps map[string]cachedMedian
+	// fits are the figures of engines, by service.
+	fits map[string]*spokeforecast.Fit
 	// lastResponses is when a server of each data centre last sent part of a
 	// response.
 	lastResponses map[string]spokeclock.Millis
@@ -338,6 +348,7 @@
 		s.load = load
 		s.load.Running, s.load.Waiting, s.load.Slots = boundedReport(load.Running), boundedReport(load.Waiting), boundedReport(load.Slots)
 		s.loadMeasuredAt = r.Clock.Now() - min(max(0, load.Age), maxReportAge)
+		s.model.RecordWorkTime(load.WorkTime, r.Clock.Now())
 	}
 }
 
--- a/spokeroute/forecast.go
+++ b/spokeroute/forecast.go
@@ -1,11 +1,10 @@
 package spokeroute
 
 import (
+	"cmp"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
-
-	"mulberryspoke.example/mulberryspoke/spokeclock"
 )
 
 // MaxFullScanInstances is the largest number of entry instances at which each
@@ -14,13 +13,6 @@
 
 // The forecast estimates the milliseconds until the first token.
 const (
-	// prefillRate is the number of prompt tokens that an engine processes in a
-	// millisecond. Only its proportion to the other terms matters to a choice;
-	// engines of the sizes served process 20 to 100.
-	prefillRate = 50.0
-	// runningDelay is the delay, in milliseconds, that each running request adds
-	// to the steps in which a prompt is processed.
-	runningDelay = 1.5
 	// queueingLoad is the load, as a fraction of the slots, from which requests
 	// begin to wait.
 	queueingLoad = 0.9
@@ -42,24 +34,6 @@
 	jitterDelay = 2.0
 )
 
-const (
-	// An engine's step takes stepMillis plus stepMillisPerRequest for each request
-	// in its batch.
-	stepMillis           = 2.9
-	stepMillisPerRequest = 0.1
-	// maxUsualBatch is the batch that engines with many slots run within their
-	// latency targets.
-	maxUsualBatch = 24
-)
-
-// EngineTime returns the time for which a request keeps an engine with the given
-// number of slots busy: the prefill of its prompt tokens, and for each answer
-// token its part of a step, which is shared by a full batch.
-func EngineTime(prefillTokens, answerTokens, slots int) spokeclock.Millis {
-	batch := float64(min(max(1, slots), maxUsualBatch))
-	return spokeclock.Millis(float64(prefillTokens)/prefillRate + float64(answerTokens)*(stepMillis/batch+stepMillisPerRequest))
-}
-
 // chooseByForecast chooses the server with the earliest expected first token. A
 // shared prefix is expected in the caches of two servers: the preferred server
 // of rendezvous hashing, on which all instances agree without communication, and
@@ -145,18 +119,17 @@
 
 // firstTokenMillis returns the expected time to the first token, in
 // milliseconds, of a request of which the server has to process prefillTokens:
-// the prefill, the delay by running requests and the wait for a slot, each
-// longer on a server that is slow or has a reduced traffic share, and the
-// penalties of its data centre.
+// the prefill, the delay by running requests and the wait for a slot, each as
+// long as delayFactor tells, and the penalties of its data centre.
 func firstTokenMillis(c Candidate, prefillTokens int) float64 {
 	slots := float64(c.Slots)
 	if slots <= 0 {
 		slots = defaultSlots
 	}
 	load := float64(estimatedLoad(c))
-	prefill := float64(c.PrefillBacklog+prefillTokens) / prefillRate
+	prefill := float64(c.PrefillBacklog+prefillTokens) / c.Engine.PrefillRate()
 	waiting := max(0, load+1-queueingLoad*slots) * slotDelay
-	total := (prefill + load*runningDelay + waiting) * max(1, c.Slowness) / max(minTrafficShare, c.TrafficShare)
+	total := (prefill + load*c.Engine.RunningDelay() + c.Engine.FirstDelay() + waiting) * delayFactor(c)
 	if !c.Local {
 		total += remoteDelay
 	}
@@ -165,3 +138,10 @@
 	}
 	return total
 }
+
+// delayFactor returns how long work takes at a server, as a ratio to the median of its
+// service's servers. A momentary delay and the reduced traffic share that follows it are
+// the same slowness: the greater one counts.
+func delayFactor(c Candidate) float64 {
+	return cmp.Or(c.UsualDelay, 1) * max(1, c.MomentaryDelay, 1/max(minTrafficShare, c.TrafficShare))
+}
