spokememory: a response isn't lost when its request's body is not read

Cause: net/http ends the sending direction of a connection whose body it has not read before it closes it, if the connection has CloseWrite. The bounded connection had none, so that the end of the response came with the close, half a second later.

Change: CloseWrite and a test of it and of SetLinger. TestListener waits for the end of each connection, with one place instead of two: the server ends a connection a moment after its response, and the test failed in one of four runs, as the next request came sooner.

--- a/spokememory/connection.go
+++ b/spokememory/connection.go
@@ -292,3 +292,12 @@
 	}
 	return nil
 }
+
+// CloseWrite sends the end of what is written, as net.TCPConn does. The server uses it when
+// it closes a connection whose body it has not read, so that the response is not lost.
+func (c *connection) CloseWrite() error {
+	if closing, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closing.CloseWrite()
+	}
+	return nil
+}
--- a/spokememory/connection_test.go
+++ b/spokememory/connection_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -130,12 +132,12 @@
 	}
 }
 
-// TestListener guards against a place that a connection keeps after its end, and against
-// a server that no longer accepts connections after it has refused some.
+// TestListener guards against a place that a connection keeps after its end: with one
+// place, each further request would find none.
 func TestListener(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	limit := &ConnectionLimit{Limit: 2, Budget: &Budget{}}
+	limit := &ConnectionLimit{Limit: 1, Budget: &Budget{}}
 	server := &http.Server{ReadHeaderTimeout: time.Second, ConnState: limit.Update, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	go func() { _ = server.Serve(limit.Listener(inner)) }()
 	defer func() { _ = server.Close() }()
@@ -144,8 +146,38 @@
 		response, err := transport.RoundTrip(newRequest(t, inner.Addr().String()))
 		require.NoError(t, err)
 		_ = response.Body.Close()
+		// The server ends a connection a moment after its response.
+		require.Eventually(t, func() bool { return limit.Count() == 0 }, 5*time.Second, time.Millisecond)
 	}
-	require.Eventually(t, func() bool { return limit.Count() == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// TestConnectionMethods guards against a response that is lost, or seems complete, because
+// the server can't close the connection as it would one without a bound.
+func TestConnectionMethods(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = inner.Close() }()
+	listener := (&ConnectionLimit{Limit: 2, Budget: &Budget{}}).Listener(inner)
+	caller, accepted := connect(t, listener)
+	require.NoError(t, accepted.(interface{ CloseWrite() error }).CloseWrite())
+	_, err = caller.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	caller, accepted = connect(t, listener)
+	require.NoError(t, accepted.(interface{ SetLinger(int) error }).SetLinger(0))
+	require.NoError(t, accepted.Close())
+	_, err = caller.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+// connect returns both ends of a new connection.
+func connect(t *testing.T, listener net.Listener) (caller, accepted net.Conn) {
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err = listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return caller, accepted
 }
 
 func newRequest(t *testing.T, address string) *http.Request {
