rollout: smaller parts of failures and answers four times slower are found

Cause: a version that fails in one of twenty answers was below the least excess, and short answers that take four times longer were below the slow limit. In the last stage an instance whose servers of the new version had all just failed sent to the old ones, which must run empty.

Change: the least excess of failures is 0.03 and grows with the old version's failures; the slow limit's floor is 5 ms; the last stage keeps to the new version while any server of it is left.

--- a/spokecore/rollout.go
+++ b/spokecore/rollout.go
@@ -39,13 +39,11 @@
 	return instead
 }
 
-// hasUsable reports whether one of the candidates can serve the request. Old servers count
-// as usable until they leave, so that a crash or a limit of theirs sends no more requests
-// to a new version than its share.
+// hasUsable reports whether one of the candidates can serve the request.
 func (r *requestRun) hasUsable(candidates []spokeroute.Candidate, filter spokerollout.Filter) bool {
 	for _, c := range candidates {
 		isSound := !c.Suspended && !c.Throttled && !slices.Contains(r.triedServers, c.Name)
-		if !c.Draining && (isSound || !filter.IsNew()) {
+		if !c.Draining && (isSound || filter.IsFirm()) {
 			return true
 		}
 	}
--- a/spokerollout/filter.go
+++ b/spokerollout/filter.go
@@ -10,6 +10,7 @@
 	isNew bool
 	// isExclusive is whether no other version may serve in place of the ordered one.
 	isExclusive bool
+	isFirm      bool
 	barred      []string
 }
 
@@ -29,8 +30,11 @@
 	return !f.Bars(version) && (!f.isExclusive || version == f.to)
 }
 
-// IsNew reports whether the request goes to the ordered version.
-func (f Filter) IsNew() bool { return f.to != "" && f.isNew }
+// IsFirm reports whether another version may serve only if no server of the chosen one is
+// left, and not yet if none of them is sound at the moment. That holds for the old version,
+// so that its failures send nothing more to the new one, and for the new one in the last
+// stage, in which the old servers run empty.
+func (f Filter) IsFirm() bool { return f.isFirm || !f.isNew }
 
 // rule is how the requests of a service are divided. It doesn't change once made.
 type rule struct {
@@ -44,7 +48,7 @@
 // filter returns the filter of a request. Draw is a random number from 0 up to 1 that
 // stays with the request, so that all its attempts keep to one side.
 func (r rule) filter(draw float64, failedVersion string) Filter {
-	f := Filter{to: r.to, barred: r.barred, isExclusive: r.isExclusive}
+	f := Filter{to: r.to, barred: r.barred, isExclusive: r.isExclusive, isFirm: r.share >= 1}
 	if r.to == "" {
 		return f
 	}
--- a/spokerollout/judge.go
+++ b/spokerollout/judge.go
@@ -15,15 +15,17 @@
 	// instance looks many times, so that it is far below the accepted rate of errors.
 	level float64
 	// minExcess is the least part of the answers that must be bad beyond the old
-	// version's part.
-	minExcess float64
+	// version's part. It grows by excessPerOld of that part, as failures that come in
+	// groups differ more between the versions if there are many.
+	minExcess    float64
+	excessPerOld float64
 }
 
 // Slow answers come in groups, as they wait for each other, so that they prove less than
 // as many failures. Broken answers are mostly those of crashed servers, which both
 // versions have.
 var measures = []measure{
-	{name: "failures", bad: metricFailed, all: metricAnswers, level: 3e-5, minExcess: 0.08},
+	{name: "failures", bad: metricFailed, all: metricAnswers, level: 3e-5, minExcess: 0.03, excessPerOld: 0.35},
 	{name: "slow first events", bad: metricSlowFirst, all: metricTimed, level: 1e-7, minExcess: 0.3},
 	{name: "slow pauses", bad: metricSlowPause, all: metricPaced, level: 1e-7, minExcess: 0.3},
 	{name: "broken answers", bad: metricBroken, all: metricAnswers, level: 1e-12, minExcess: 0.4},
@@ -58,7 +60,9 @@
 	// excess is the part of its answers that are bad beyond what the old version's part
 	// lets expect.
 	excess float64
-	text   string
+	// oldPart is the part of the answers that the old version lets expect to be bad.
+	oldPart float64
+	text    string
 }
 
 // judgement sums up all comparisons.
@@ -83,7 +87,7 @@
 				compared, name = []string{route}, route
 			}
 			f := compare(strataOf(cells, m, compared))
-			if f.excess < m.minExcess/2 {
+			if f.excess < m.leastExcess(f)/2 {
 				continue
 			}
 			f.text = fmt.Sprintf("%s on %s: %s, probability %.1e", m.name, name, f.text, f.probability)
@@ -96,8 +100,10 @@
 	return result
 }
 
+func (m measure) leastExcess(f finding) float64 { return m.minExcess + m.excessPerOld*f.oldPart }
+
 func (j *judgement) add(m measure, f finding) {
-	isStrong := f.excess >= m.minExcess
+	isStrong := f.excess >= m.leastExcess(f)
 	// The levels of weaker decisions keep the ratio that the measure has to failures.
 	weight := m.level / measures[0].level
 	switch {
@@ -165,7 +171,8 @@
 			chances = append(chances, newHypergeometric(s))
 		}
 	}
-	f.excess = (float64(newBad) - oldExpected) / float64(newAll)
+	f.oldPart = oldExpected / float64(newAll)
+	f.excess = float64(newBad)/float64(newAll) - f.oldPart
 	if f.excess > 0 {
 		f.probability = chernoffBound(chances, float64(newBad))
 	}
--- a/spokerollout/reference.go
+++ b/spokerollout/reference.go
@@ -19,7 +19,7 @@
 	// is above what a cold prefix cache costs, about a factor of two.
 	slowFactor = 3
 	// slowFloor in milliseconds is added, as short times vary by more than a factor.
-	slowFloor = 20.0
+	slowFloor = 5.0
 )
 
 // reference has the last measurements of a route, by version.
