spokebackend: the cases of TestSpeeds run side by side

Cause: with the race detector the package's tests took 46 s. Change: t.Parallel in the cases, which share nothing. Conclusion: shorter only where processors are free.

--- a/spokebackend/speeds_test.go
+++ b/spokebackend/speeds_test.go
@@ -59,7 +59,10 @@
 // each server itself and learns late of the requests of the others.
 func TestSpeeds(t *testing.T) {
 	for _, c := range spokecase.Read[[]speedsCase](t, "testdata/speeds.yaml") {
-		t.Run(c.Name, func(t *testing.T) { newSpeedsRun(c).run(t) })
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			newSpeedsRun(c).run(t)
+		})
 	}
 }
 
