origin: a process records what it knows of versions that its list has missed

A version came and went between two reads of the list at other processes. After a restore, the process that had begun its stream did not record it again: its first check had not happened before the restore, or its own list had the base only. Without a restore it did not mark the base as mixed, so that a caller that names no attempt went on at the base. Change: each known stream keeps the era before its record was written, and is recorded again in a later era unless the base tells its version. A stream of another version than the base makes a process mark the base as mixed.

--- a/spokeorigin/base.go
+++ b/spokeorigin/base.go
@@ -55,6 +55,19 @@
 	absentSince spokeclock.Millis
 	// otherSeenAt is when a server of another version was last known, or zero.
 	otherSeenAt spokeclock.Millis
+	// streamsAt is when this process last learnt of a stream of each version.
+	streamsAt map[string]spokeclock.Millis
+}
+
+// hasOtherStream reports whether a stream of another version, of which this process knows, may
+// be resumed.
+func (b *base) hasOtherStream(now spokeclock.Millis) bool {
+	for version, at := range b.streamsAt {
+		if version != b.record.Version && now-at < replaceDelay {
+			return true
+		}
+	}
+	return false
 }
 
 // isOnly reports whether, by this process's list, all servers have had the version for as long
@@ -136,13 +149,30 @@
 func (r *Records) updateBase(service string, updateFunc func(b *base)) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	updateFunc(r.lockedBase(service))
+}
+
+// lockedBase returns what is known of a service's base. The mutex must be held.
+func (r *Records) lockedBase(service string) *base {
 	if r.bases == nil {
 		r.bases = make(map[string]*base)
 	}
 	if r.bases[service] == nil {
 		r.bases[service] = &base{}
 	}
-	updateFunc(r.bases[service])
+	return r.bases[service]
+}
+
+// maxStreamVersions bounds the versions whose streams are noted for a service.
+const maxStreamVersions = 64
+
+// noteStream notes that a stream of a version may be resumed. The mutex must be held.
+func (r *Records) noteStream(rec record, now spokeclock.Millis) {
+	b := r.lockedBase(rec.Service)
+	if b.streamsAt == nil || len(b.streamsAt) >= maxStreamVersions {
+		b.streamsAt = make(map[string]spokeclock.Millis)
+	}
+	b.streamsAt[rec.Version] = now
 }
 
 // checkBase reads the base of a service when that is due. A process that changes bases
@@ -178,7 +208,9 @@
 			return
 		}
 		_, isListed := versions[b.record.Version]
-		if len(versions) > 1 || !isListed {
+		// The list may have missed the servers of a version that came and went.
+		hasMissed := !b.record.IsMixed && b.hasOtherStream(now)
+		if len(versions) > 1 || !isListed || hasMissed {
 			b.otherSeenAt = now
 		}
 		switch {
--- a/spokeorigin/records.go
+++ b/spokeorigin/records.go
@@ -63,6 +63,8 @@
 	// era is the table's era at the last check, and eraSeenAt when it was first seen.
 	era       spoketable.Era
 	eraSeenAt spokeclock.Millis
+	// hasEarlier is whether some known streams may be of an earlier era.
+	hasEarlier bool
 	// hasFailed is whether the last write has failed and no read has succeeded since.
 	hasFailed bool
 	probedAt  spokeclock.Millis
@@ -74,6 +76,9 @@
 type knownStream struct {
 	record  record
 	expires spokeclock.Millis
+	// era is the table's era in which the stream's record was certainly there, or was not
+	// needed.
+	era spoketable.Era
 }
 
 // Begin records that a stream begins at a server of a version. Only after it has
@@ -81,9 +86,11 @@
 // KindUnavailable or KindOutcomeUnknown.
 func (r *Records) Begin(ctx context.Context, stream Stream, version string) error {
 	rec := record{Service: stream.Service, Workspace: stream.Workspace, Version: version, WrittenAt: spokeclock.Wall()}
+	// A restore during the write may remove the record, so that the era before it counts.
+	era := r.EraFunc()
 	need := r.recordNeed(stream, version)
 	if need == recordNone {
-		r.remember(stream, rec)
+		r.remember(stream, rec, era)
 		return nil
 	}
 	if !stream.hasValidID() {
@@ -91,7 +98,7 @@
 	}
 	shard, write := shardOf(stream.ID, len(r.Shards)), spoketable.EncodeWrite(stream.ID, rec)
 	if need == recordAfterwards {
-		r.remember(stream, rec)
+		r.remember(stream, rec, era)
 		r.recordLater(shard, write)
 		return nil
 	}
@@ -102,7 +109,7 @@
 		r.Log.Warn().Err(err).Str("id", stream.ID).Str("service", stream.Service).Str("software_version", version).Msg("Origin of a stream could not be recorded.")
 		return err
 	}
-	r.remember(stream, rec)
+	r.remember(stream, rec, era)
 	return nil
 }
 
@@ -167,7 +174,7 @@
 	}
 	version, err := rec.versionFor(stream)
 	if err == nil {
-		r.remember(stream, rec)
+		r.remember(stream, rec, rows[0].Era)
 	}
 	return version, err
 }
@@ -274,7 +281,7 @@
 }
 
 // remember keeps a stream in memory for as long as it may be resumed.
-func (r *Records) remember(stream Stream, rec record) {
+func (r *Records) remember(stream Stream, rec record, era spoketable.Era) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
@@ -282,8 +289,10 @@
 		r.known = make(map[string]knownStream)
 	}
 	if len(r.known) < maxKnown {
-		r.known[stream.ID] = knownStream{record: rec, expires: now + stream.TimeLeft}
+		r.known[stream.ID] = knownStream{record: rec, expires: now + stream.TimeLeft, era: era}
+		r.hasEarlier = r.hasEarlier || era < r.era
 	}
+	r.noteStream(rec, now)
 }
 
 // Run maintains the bases and removes old records until ctx ends.
@@ -293,9 +302,8 @@
 
 // Check maintains the bases once. Run calls it periodically.
 func (r *Records) Check(ctx context.Context) {
-	if r.isRestored() {
-		r.recordKnown()
-	}
+	r.noteEra()
+	r.recordKnown()
 	for _, service := range r.ServicesFunc() {
 		r.checkBase(ctx, service)
 	}
@@ -305,16 +313,14 @@
 	r.clean(ctx)
 }
 
-// isRestored reports whether the table has been restored from a copy since the last call.
-func (r *Records) isRestored() bool {
+// noteEra notes that the table has been restored from a copy.
+func (r *Records) noteEra() {
 	era := r.EraFunc()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	isRestored := r.era > 0 && era > r.era
 	if era > r.era {
-		r.era, r.eraSeenAt = era, r.Clock.Now()
+		r.era, r.eraSeenAt, r.hasEarlier = era, r.Clock.Now(), true
 	}
-	return isRestored
 }
 
 // isListCurrent reports whether the list of servers has those of the time before an era.
@@ -324,18 +330,37 @@
 	return r.era == era && r.Clock.Now()-r.eraSeenAt >= listDelay
 }
 
-// recordKnown records the streams that this process knows, of services whose streams can't be
-// told by their base, as a restore of the table may have removed their records.
+// recordKnown records the streams that this process knows from an earlier era, as a restore of
+// the table may have removed their records. It leaves out those that their service's base tells.
 func (r *Records) recordKnown() {
+	for id, rec := range r.takeEarlier() {
+		b := r.baseOf(rec.Service)
+		// The list may have missed the servers of a version that came and went.
+		isTold := rec.Version == b.record.Version && b.isOnly(r.VersionsFunc(rec.Service), r.Clock.Now())
+		if !isTold {
+			r.recordLater(shardOf(id, len(r.Shards)), spoketable.EncodeWrite(id, rec))
+		}
+	}
+}
+
+// takeEarlier returns the known streams of earlier eras, by ID, and makes them ones of the
+// present era.
+func (r *Records) takeEarlier() map[string]record {
 	r.mutex.Lock()
-	streams := maps.Clone(r.known)
-	r.mutex.Unlock()
-	for id, stream := range streams {
-		service := stream.record.Service
-		if b := r.baseOf(service); !b.isOnly(r.VersionsFunc(service), r.Clock.Now()) {
-			r.recordLater(shardOf(id, len(r.Shards)), spoketable.EncodeWrite(id, stream.record))
+	defer r.mutex.Unlock()
+	if !r.hasEarlier {
+		return nil
+	}
+	r.hasEarlier = false
+	earlier := make(map[string]record)
+	for id, stream := range r.known {
+		if stream.era < r.era {
+			earlier[id] = stream.record
+			stream.era = r.era
+			r.known[id] = stream
 		}
 	}
+	return earlier
 }
 
 // forgetExpired forgets the streams that can't be resumed any more.
