spokelimit: silent peers keep what is theirs and no more; short allotments go to cheap routes

Cause of the strictness: a share followed from a few tokens of demand at a time, and one large request needed more than a small share's bucket holds, so that cut-off instances refused two fifths of what was usual. The others froze their shares while any peer was silent, counted the demand of silent peers as spent twice, as unseen and as assumed, and took their whole shares.

Cause of the broken bound: the demand of a peer that is not heard decayed for 3 s before it counted as silent, so that each side of a cut noted a share that was too large, up to four times, and kept it. An instance that had just started took three quarters of an allotment until it knew the demands of the others, which it does after the second heartbeat. And nothing bounded what all instances spend before they hear of a surge.

Change: a peer's demand doesn't fall while it is not heard. An instance's own demand is compared with the peers' as they know it, in steps. Shares are noted only while no peer is late. Those that hear each other divide what does not belong to silent peers, which are assumed to spend their demand, grown as that of the others, and their shares at most. A short allotment is spent by thinning: each instance allows the part of the demand that rate and level cover, and no longer whole requests by the level of its bucket. The part is divided among the routes by mean cost times one more than the priority; each route keeps half of what it would get without precedence and a quarter of what all requests get. A surge is bounded before the others hear of it.

--- a/spokecore/limit.go
+++ b/spokecore/limit.go
@@ -24,7 +24,7 @@
 	if r.core.Pool == nil {
 		return nil
 	}
-	decision := r.core.Pool.Spend(w, r.request.allotmentCost())
+	decision := r.core.Pool.Spend(w, spokelimit.Route{Name: r.request.Route.Name, Priority: r.request.Route.Priority}, r.request.allotmentCost())
 	if decision.Allowed() {
 		return nil
 	}
@@ -37,8 +37,9 @@
 // workspaceLimitRefusal logs and returns the refusal of a request whose
 // workspace is over a limit.
 func (r *requestRun) workspaceLimitRefusal(decision spokelimit.Decision) *Refusal {
-	r.core.Log.Info().Str("id", r.request.ID).Str("workspace", r.request.workspaceName()).Str("limit", decision.ExceededLimit()).
+	r.core.Log.Info().Str("id", r.request.ID).Str("workspace", r.request.workspaceName()).Str("route", r.request.Route.Name).Str("limit", decision.ExceededLimit()).
 		Float64("cost", r.request.allotmentCost()).Float64("per_second", decision.Rate()).
+		Float64("allowed_part", decision.AllowedPart()).Float64("route_part", decision.RoutePart()).
 		Float64("level", decision.GlobalLevel()).Float64("credit", decision.LocalLevel()).Msg("Workspace is over its limit.")
 	return &Refusal{kind: KindWorkspaceLimit, notRun: true, retryAfter: decision.RetryAfter(), cause: errors.New("the workspace is over its " + decision.ExceededLimit())}
 }
--- a/spokelimit/allotment.go
+++ b/spokelimit/allotment.go
@@ -43,7 +43,32 @@
 	silentPeerTimeout = 15 * spokeclock.Second
 	// lateCountFraction is the fraction of the tolerance that late counts may use
 	// up. The rest is for requests that several instances allow at once.
-	lateCountFraction = 0.5
+	lateCountFraction = 0.3
+	// creditTime is the time in which instances spend what is left of a short allotment,
+	// and debtTime the time in which they save what was spent too much. With less than some
+	// two seconds, the corrections of many instances would overshoot, as their counts are up
+	// to two seconds old.
+	creditTime = 4 * spokeclock.Second
+	debtTime   = 2 * spokeclock.Second
+	// maxDebtTime is the longest time in which an instance saves, by its own share, what a
+	// costly request took.
+	maxDebtTime = 8 * spokeclock.Second
+	// costliestPeriods is the number of the costliest route's requests that such a share is
+	// given time to save for.
+	costliestPeriods = 1
+	// minBudgetFraction is the fraction of the rate that is spent however deep the debt, so
+	// that cheap and urgent requests are not refused because costly ones were allowed.
+	minBudgetFraction = 0.1
+	// surgeTimeConstant is the time constant of the local demand in requests.
+	surgeTimeConstant = spokeclock.Second
+	// minSurgeRequests is the local demand in requests per second below which its growth
+	// tells nothing.
+	minSurgeRequests = 3
+	// maxSurgePart is the part of the demand above which a surge may be chance.
+	maxSurgePart = 0.75
+	// maxUnheardFraction is the fraction of the members not heard since the start above
+	// which the sums over the others tell too little.
+	maxUnheardFraction = 0.5
 	// maxRetryAfter is the longest time after which a refused caller is told to
 	// retry.
 	maxRetryAfter = 5 * spokeclock.Second
@@ -57,10 +82,11 @@
 // AllotmentLimiter enforces the allotments that all entry instances share. Each
 // instance counts what it spends and receives the counts of its peers. While
 // the global level of an allotment is high enough, any instance may spend from
-// it. When it is low or peers are silent, an instance spends only its own share,
-// which follows the demand it has seen; the shares add up to the whole
-// allotment. Set its fields before the first call. It is safe for concurrent
-// use.
+// it. When it is low, the allotment is short: each instance allows the part of
+// the requests that the rate and the level cover, urgent and cheap routes first.
+// An instance that hears no peer spends only its own share, which follows the
+// demand it had before; the shares add up to the whole allotment. Set its fields
+// before the first call. It is safe for concurrent use.
 type AllotmentLimiter struct {
 	// Clock measures time. Nil means the process's monotonic clock.
 	Clock *spokeclock.Clock
@@ -78,10 +104,18 @@
 	allotments  map[string]*allotmentState
 	peers       map[string]*peerState
 	localCounts map[string]int64
+	startedAt   spokeclock.Millis
 	sharesAt    spokeclock.Millis
-	memberCount int
-	// unheardFraction is the fraction of the members that have not been heard.
+	// lastHeardAt is when any peer was last heard, and meanInterval the mean time between a
+	// peer's heartbeats.
+	lastHeardAt  spokeclock.Millis
+	meanInterval spokeclock.Millis
+	memberCount  int
+	// unheardFraction is the fraction of the members that have not been heard, and
+	// unknownFraction that of those whose demand is not known, as they were heard at most
+	// once.
 	unheardFraction float64
+	unknownFraction float64
 }
 
 // Tolerance is the amount that may be spent beyond an allotment in any window,
@@ -106,25 +140,50 @@
 // allotmentState is the state of one workspace's allotment. Levels and demand
 // are in tokens or requests, as the allotment counts them.
 type allotmentState struct {
+	// startedAt is when the limiter was first used.
+	startedAt spokeclock.Millis
 	updatedAt spokeclock.Millis
 	// globalLevel is the level of the bucket that all instances share, as far as
 	// this instance knows.
 	globalLevel float64
 	// localLevel is the level of the bucket for this instance's share.
-	localLevel  float64
-	localDemand spokerate.Rate
-	// share is this instance's fraction of the allotment, as it was when no peer
-	// was silent.
-	share float64
-	// totalDemand is the demand per second over all instances, and unseenMillis
-	// each instance's demand times the age of its counts, as they were at
-	// summedAt.
-	totalDemand  float64
-	unseenMillis float64
-	summedAt     spokeclock.Millis
-	// draw is the last random number and drawnAt its time.
-	draw    float64
-	drawnAt spokeclock.Millis
+	localLevel float64
+	// requests is the local demand in requests. The cost of a request varies so much that
+	// the demand is measured better by the number of requests and their mean cost.
+	requests spokerate.Rate
+	meanCost average
+	// demandBefore is the demand in requests per second before the last one.
+	demandBefore float64
+	// delayed is the local demand in the steps in which peers learn it.
+	delayed delayedRate
+	// recentPart is the part of the demand that was allowed lately. Peers have allowed about
+	// as much of what is not seen yet.
+	recentPart decayingAverage
+	routes     map[string]*routeDemand
+	// share is this instance's fraction of the allotment, and baseShare what it was when
+	// no peer was silent.
+	share     float64
+	baseShare float64
+	// baseDemand is the demand per second over all instances when no peer was silent.
+	baseDemand float64
+	// sums are those over all instances, as they were at summedAt.
+	sums     sums
+	summedAt spokeclock.Millis
+}
+
+// sums are over all instances, for one allotment.
+type sums struct {
+	// demand is the demand per second of the instances that are heard, this one included.
+	demand float64
+	// unseen is what may have been spent that this instance hasn't heard of yet.
+	unseen float64
+	// silentShare is the fraction of the allotment that belongs to silent peers,
+	// silentDemand the demand per second that they last reported, and silentSpending what
+	// they are assumed to spend per second.
+	silentShare    float64
+	silentDemand   float64
+	silentSpending float64
+	heardCount     int
 }
 
 // peerState is what one peer has reported.
@@ -135,14 +194,17 @@
 	interval spokeclock.Millis
 	counts   map[string]int64
 	demands  map[string]*spokerate.Rate
-	// assumedSpent is, by workspace, what the peer is assumed to have spent
-	// since its counts were last received.
+	// baseShares are, by workspace, the peer's fractions of the allotments as they were
+	// when no peer was silent.
+	baseShares map[string]float64
+	// assumedSpent is, by workspace, what the peer is assumed to have spent since it was
+	// last heard, if it is silent.
 	assumedSpent map[string]float64
 }
 
 // Spend deducts a request's cost from a workspace's allotment if the request is
-// allowed.
-func (l *AllotmentLimiter) Spend(w *spokeconfig.Workspace, cost float64) Decision {
+// allowed. While the allotment is short, the route's precedence decides.
+func (l *AllotmentLimiter) Spend(w *spokeconfig.Workspace, route Route, cost float64) Decision {
 	if w.Allotment == nil || w.Allotment.Rate == 0 {
 		return Decision{isAllowed: true}
 	}
@@ -150,14 +212,29 @@
 	defer l.mutex.Unlock()
 	now := l.Clock.Now()
 	l.initMaps()
-	a := l.refresh(w, now)
-	a.localDemand.Add(cost, now)
+	a := l.allotment(w.Name)
+	a.addDemand(route, cost, now)
+	l.refresh(w, a, now)
 	l.localCounts[requestedPrefix+w.Name] += int64(cost)
-	if !l.globalAllows(w, a, now) && !l.localAllows(w, a, cost, now) {
-		return Decision{exceededLimit: "allotment", retryAfter: l.retryAfter(w, a, now), ratePerSecond: w.Allotment.Rate, globalLevel: a.globalLevel, localLevel: a.localLevel}
+	decision := Decision{isAllowed: true}
+	if l.globalAllows(w, a, now) {
+		decision.allowedPart = l.surgePart(w, a)
+	} else {
+		decision.isShort, decision.allowedPart = true, l.allowedPart(w, a, now)
+	}
+	a.recentPart.add(decision.allowedPart, now)
+	if decision.allowedPart < 1 {
+		decision.routePart = a.plan(decision.allowedPart, now).part(route)
+		decision.isAllowed = l.random() < decision.routePart
+	}
+	decision.ratePerSecond, decision.globalLevel, decision.localLevel = w.Allotment.Rate, a.globalLevel, a.localLevel
+	if !decision.isAllowed {
+		decision.exceededLimit = "allotment"
+		decision.retryAfter = l.retryAfter(w, a, now)
+		return decision
 	}
 	l.deduct(w.Name, a, cost)
-	return Decision{isAllowed: true}
+	return decision
 }
 
 // Refund returns the cost of a request that was allowed and did not run.
@@ -168,7 +245,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.initMaps()
-	l.deduct(w.Name, l.refresh(w, l.Clock.Now()), -cost)
+	a := l.allotment(w.Name)
+	l.refresh(w, a, l.Clock.Now())
+	l.deduct(w.Name, a, -cost)
 }
 
 func (l *AllotmentLimiter) deduct(workspace string, a *allotmentState, cost float64) {
@@ -182,175 +261,119 @@
 		l.allotments = make(map[string]*allotmentState)
 		l.peers = make(map[string]*peerState)
 		l.localCounts = make(map[string]int64)
+		l.startedAt = l.Clock.Now()
 	}
 }
 
-// refresh refills a workspace's allotment up to now. It starts empty when this
+// allotment returns the state of a workspace's allotment. It starts empty when this
 // process starts, as what was spent before is not known.
-func (l *AllotmentLimiter) refresh(w *spokeconfig.Workspace, now spokeclock.Millis) *allotmentState {
-	a, known := l.allotments[w.Name]
+func (l *AllotmentLimiter) allotment(workspace string) *allotmentState {
+	a, known := l.allotments[workspace]
 	if !known {
-		a = &allotmentState{localDemand: spokerate.Rate{TimeConstant: demandTimeConstant}, draw: l.random(), drawnAt: now}
-		l.allotments[w.Name] = a
+		a = newAllotmentState(l.startedAt)
+		l.allotments[workspace] = a
 	}
+	return a
+}
+
+// refresh refills a workspace's allotment up to now.
+func (l *AllotmentLimiter) refresh(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) {
 	seconds := float64(now-a.updatedAt) / float64(spokeclock.Second)
 	a.updatedAt = now
-	share := l.localShare(w.Name, a, now)
+	l.updateSums(w, a, now)
 	depth := max(1, w.Allotment.Burst, w.Allotment.Rate*minDepthSeconds)
 	a.globalLevel = min(depth, a.globalLevel+w.Allotment.Rate*seconds*(1-l.unheardFraction))
-	a.localLevel = min(depth*share, a.localLevel+w.Allotment.Rate*share*seconds)
+	a.localLevel = min(depth*a.share, a.localLevel+w.Allotment.Rate*a.share*seconds)
 	l.deductSilentPeers(w, a, seconds, now)
-	return a
 }
 
-// localShare returns this instance's fraction of an allotment. It stays as it
-// was when no peer was silent: silent peers haven't received new demand from
-// here either, and the shares must add up to one.
-func (l *AllotmentLimiter) localShare(workspace string, a *allotmentState, now spokeclock.Millis) float64 {
-	if a.share == 0 || len(l.peers) == 0 {
-		a.share = l.shareOf(workspace, a, a.localDemand.PerSecond(now), now)
-	}
-	return a.share
-}
-
-// shareOf returns the fraction of an allotment for an instance with the given
-// demand per second: equalFraction is divided equally, the rest in proportion
-// to demand. The equal parts of members that are not heard are left out of the rest.
-func (l *AllotmentLimiter) shareOf(workspace string, a *allotmentState, demand float64, now spokeclock.Millis) float64 {
-	total := l.totalDemand(workspace, a, now)
-	members := float64(max(1, l.memberCount, len(l.peers)+1))
-	if total <= 0 {
-		return 1 / members
+// globalAllows reports whether a request may be spent from the whole allotment:
+// the global level and lateCountFraction of the tolerance cover what instances
+// may have spent without the others' knowledge. A positive level belongs to
+// silent peers as well, so their shares are left out. If there are other members, or
+// it is not known whether there are, and none is heard, all of it may be spent already.
+func (l *AllotmentLimiter) globalAllows(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) bool {
+	available := a.globalLevel
+	if available > 0 {
+		available *= max(0, 1-l.unheardFraction-a.sums.silentShare)
 	}
-	return equalFraction/members + (1-equalFraction)*(1-l.unheardFraction)*min(1, demand/total)
+	available += l.lateAmount(w)
+	return l.decidesBySums(now) && available >= a.sums.unseen
 }
 
-// totalDemand returns the demand per second on an allotment over all instances.
-// The sum is reused for sumMaxAge, as there may be many peers.
-func (l *AllotmentLimiter) totalDemand(workspace string, a *allotmentState, now spokeclock.Millis) float64 {
-	if a.totalDemand > 0 && now-a.summedAt < sumMaxAge {
-		return a.totalDemand
+// surgePart returns which part of this instance's demand may be spent while the allotment is
+// not short: less than one if its demand has grown so much that what is available would be
+// spent before the instances hear of each other's spending, if it has grown everywhere.
+func (l *AllotmentLimiter) surgePart(w *spokeconfig.Workspace, a *allotmentState) float64 {
+	if a.demandBefore < minSurgeRequests || l.meanInterval == 0 {
+		return 1
 	}
-	a.summedAt = now
-	a.totalDemand = a.localDemand.PerSecond(now)
-	a.unseenMillis = a.totalDemand * float64(l.maxCountAge())
-	for _, peer := range l.peers {
-		demand := peer.demandPerSecond(workspace, now)
-		a.totalDemand += demand
-		a.unseenMillis += demand * float64(peer.interval+countDelay)
-	}
-	l.updateMembers()
-	return a.totalDemand
-}
-
-func (l *AllotmentLimiter) updateMembers() {
-	count, unheard := l.MemberCountsFunc()
-	l.memberCount, l.unheardFraction = count, 1
-	if count > 0 {
-		l.unheardFraction = min(1, float64(unheard)/float64(count))
+	available := max(0, a.globalLevel+l.lateAmount(w)) * float64(spokeclock.Second) / float64(l.meanInterval+2*countDelay)
+	part := a.share * (w.Allotment.Rate + available) / a.localDemand()
+	if part > maxSurgePart {
+		return 1
 	}
+	return part
 }
 
-// updateShares recomputes this instance's shares, unless a peer is silent.
-func (l *AllotmentLimiter) updateShares(now spokeclock.Millis) {
-	if now-l.sharesAt < shareUpdateInterval || l.hasSilentPeer(now) {
-		return
+// hearsOthers reports whether this instance hears any peer, or knows that there are none.
+// It is cut off if none is heard for one interval; a single peer is silent only later.
+func (l *AllotmentLimiter) hearsOthers(now spokeclock.Millis) bool {
+	if len(l.peers) == 0 {
+		return l.memberCount == 1
 	}
-	l.sharesAt = now
-	for workspace, a := range l.allotments {
-		a.share = l.shareOf(workspace, a, a.localDemand.PerSecond(now), now)
+	if l.meanInterval == 0 {
+		return now-l.lastHeardAt <= newPeerTimeout
 	}
+	return now-l.lastHeardAt <= countDelay+l.meanInterval
 }
 
-func (l *AllotmentLimiter) hasSilentPeer(now spokeclock.Millis) bool {
-	for _, peer := range l.peers {
-		if peer.isSilent(now) {
-			return true
+// allowedPart returns which part of a short allotment's demand may be spent: what the rate
+// and the level cover. An instance that hears no peer decides by its own share, any other
+// by the sums over the instances that it hears, and by its own demand if that has grown.
+func (l *AllotmentLimiter) allowedPart(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) float64 {
+	local := a.localDemand()
+	if !l.decidesBySums(now) {
+		rate := w.Allotment.Rate * a.share
+		// One costly request may take as much as the share yields in several seconds.
+		budget := rate + correction(a.localLevel, debtTime+costliestPeriods*spokeclock.Millis(a.costliest()/max(1, rate)*float64(spokeclock.Second)))
+		if now-l.startedAt >= unknownTime {
+			budget = max(budget, minBudgetFraction*rate)
 		}
+		return clampPart(budget / local)
 	}
-	return false
-}
-
-// demandPerSecond returns the peer's demand on a workspace's allotment. That of
-// a silent peer stays as it was at its last heartbeat.
-func (p *peerState) demandPerSecond(workspace string, now spokeclock.Millis) float64 {
-	demand, known := p.demands[workspace]
-	if !known {
-		return 0
+	rate := w.Allotment.Rate*(1-l.unheardFraction) - a.sums.silentSpending
+	budget := rate + correction(a.globalLevel-a.sums.unseen*a.recentPart.value, debtTime)
+	part := clampPart(max(budget, minBudgetFraction*rate) / max(1, a.sums.demand))
+	if expected := a.delayed.perSecond(); local > expected && expected > 0 {
+		part *= expected / local
 	}
-	if p.isSilent(now) {
-		return demand.PerSecond(p.lastHeardAt)
-	}
-	return demand.PerSecond(now)
+	return part
 }
 
-// isSilent reports whether the peer has missed its last heartbeats.
-func (p *peerState) isSilent(now spokeclock.Millis) bool {
-	if p.interval == 0 {
-		return now-p.lastHeardAt > newPeerTimeout
-	}
-	return now-p.lastHeardAt > countDelay+maxMissedHeartbeats*p.interval
+// decidesBySums reports whether this instance hears enough others for the sums over them to
+// tell what is left of an allotment.
+func (l *AllotmentLimiter) decidesBySums(now spokeclock.Millis) bool {
+	return l.hearsOthers(now) && l.unheardFraction <= maxUnheardFraction
 }
 
-// deductSilentPeers deducts what silent peers are assumed to have spent in the
-// given time: their shares, until they are heard again or removed.
-func (l *AllotmentLimiter) deductSilentPeers(w *spokeconfig.Workspace, a *allotmentState, seconds float64, now spokeclock.Millis) {
-	for name, peer := range l.peers {
-		if !peer.isSilent(now) {
-			continue
-		}
-		if now-peer.lastHeardAt > silentPeerTimeout {
-			delete(l.peers, name)
-			continue
-		}
-		spent := l.shareOf(w.Name, a, peer.demandPerSecond(w.Name, now), now) * w.Allotment.Rate * seconds
-		peer.assumedSpent[w.Name] += spent
-		a.globalLevel -= spent
+// correction returns the spending per second that brings a level to zero, in the given time
+// if it is a debt.
+func correction(level float64, debtTime spokeclock.Millis) float64 {
+	period := creditTime
+	if level < 0 {
+		period = min(debtTime, maxDebtTime)
 	}
+	return level * float64(spokeclock.Second) / float64(period)
 }
 
-// globalAllows reports whether a request may be spent from the whole allotment:
-// the global level and lateCountFraction of the tolerance cover what instances
-// may have spent without the others' knowledge. A positive level belongs to
-// silent peers as well, so their shares are left out. If there are other members, or
-// it is not known whether there are, and none is heard, all of it may be spent already.
-func (l *AllotmentLimiter) globalAllows(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) bool {
-	heardShare, isHeard := 1-l.unheardFraction, len(l.peers) == 0 && l.memberCount == 1
-	for _, peer := range l.peers {
-		if peer.isSilent(now) {
-			heardShare -= l.shareOf(w.Name, a, peer.demandPerSecond(w.Name, now), now)
-		} else {
-			isHeard = true
-		}
-	}
-	available := a.globalLevel
-	if available > 0 {
-		available *= max(0, heardShare)
-	}
-	return isHeard && available+l.lateAmount(w) >= l.unseenSpending(w, a, now)
-}
+func clampPart(part float64) float64 { return min(1, max(0, part)) }
 
 // lateAmount returns the part of the tolerance that late counts may use up.
 func (l *AllotmentLimiter) lateAmount(w *spokeconfig.Workspace) float64 {
 	return l.Tolerance.amount(w.Allotment) * lateCountFraction
 }
 
-// localAllows reports whether a request may be spent from this instance's share.
-// With many instances a share's level is smaller than a request's cost. The
-// request is then allowed if the level is at least a random fraction of the
-// cost. The fraction is drawn once for each period in which the peers receive
-// the counts, so that they do not all spend a whole request at once.
-func (l *AllotmentLimiter) localAllows(w *spokeconfig.Workspace, a *allotmentState, cost float64, now spokeclock.Millis) bool {
-	if a.localLevel <= 0 || a.globalLevel < -l.lateAmount(w) {
-		return false
-	}
-	if now-a.drawnAt > l.maxCountAge() {
-		a.drawnAt = now
-		a.draw = l.random()
-	}
-	return a.localLevel >= cost*a.draw
-}
-
 func (l *AllotmentLimiter) random() float64 {
 	if l.RandomFunc != nil {
 		return l.RandomFunc()
@@ -358,29 +381,12 @@
 	return rand.Float64() //nolint:gosec // The draw needs no secrecy.
 }
 
-// maxCountAge returns how old the counts of the slowest peer may be.
-func (l *AllotmentLimiter) maxCountAge() spokeclock.Millis {
-	age := countDelay
-	for _, peer := range l.peers {
-		age = max(age, peer.interval+countDelay)
-	}
-	return age
-}
-
-// unseenSpending returns what peers may have spent that this instance has not
-// received yet, and what this instance may have spent that they have not.
-func (l *AllotmentLimiter) unseenSpending(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) float64 {
-	l.totalDemand(w.Name, a, now)
-	return a.unseenMillis / float64(spokeclock.Second)
-}
-
 // retryAfter estimates the time until a request may be allowed: until the local
 // level reaches one or globalAllows would hold, whichever is earlier, and
 // maxRetryAfter at most.
-func (l *AllotmentLimiter) retryAfter(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) spokeclock.Millis {
-	localRate := w.Allotment.Rate * l.localShare(w.Name, a, now)
-	localSeconds := (1 - a.localLevel) / localRate
-	globalSeconds := max(0, l.unseenSpending(w, a, now)-a.globalLevel-l.lateAmount(w)) / w.Allotment.Rate
+func (l *AllotmentLimiter) retryAfter(w *spokeconfig.Workspace, a *allotmentState, _ spokeclock.Millis) spokeclock.Millis {
+	localSeconds := max(0, 1-a.localLevel) / max(1, w.Allotment.Rate*a.share)
+	globalSeconds := max(0, a.sums.unseen-a.globalLevel-l.lateAmount(w)) / w.Allotment.Rate
 	return min(1+spokeclock.Millis(min(localSeconds, globalSeconds)*float64(spokeclock.Second)), maxRetryAfter)
 }
 
@@ -403,7 +409,7 @@
 	p, known := l.peers[peer]
 	if !known || p.generation != generation {
 		p = &peerState{
-			generation: generation, counts: make(map[string]int64),
+			generation: generation, counts: make(map[string]int64), baseShares: make(map[string]float64),
 			demands: make(map[string]*spokerate.Rate), assumedSpent: make(map[string]float64),
 		}
 		l.peers[peer] = p
@@ -416,6 +422,8 @@
 		p.interval = (intervalWeight*p.interval + interval) / (intervalWeight + 1)
 	}
 	p.lastHeardAt = now
+	l.lastHeardAt = now
+	l.recordInterval(p.interval)
 	for key, count := range counts {
 		before, counted := p.counts[key]
 		p.counts[key] = count
@@ -426,7 +434,19 @@
 		}
 		l.addPeerAmount(p, key, float64(count-before), now)
 	}
-	l.updateShares(now)
+	p.returnAssumed(l.allotments)
+	l.updateBaseShares(now)
+}
+
+// returnAssumed takes back what the peer was assumed to have spent on allotments whose
+// counters haven't changed.
+func (p *peerState) returnAssumed(allotments map[string]*allotmentState) {
+	for workspace, assumed := range p.assumedSpent {
+		if a, known := allotments[workspace]; known {
+			a.globalLevel += assumed
+		}
+	}
+	clear(p.assumedSpent)
 }
 
 // addPeerAmount adds the increase of one counter of a peer. An increase of its
@@ -436,7 +456,7 @@
 		if a, known := l.allotments[workspace]; known {
 			a.globalLevel -= amount - p.assumedSpent[workspace]
 		}
-		p.assumedSpent[workspace] = 0
+		delete(p.assumedSpent, workspace)
 	}
 	if workspace, isRequested := strings.CutPrefix(key, requestedPrefix); isRequested {
 		if p.demands[workspace] == nil {
--- a/spokelimit/limit.go
+++ b/spokelimit/limit.go
@@ -45,8 +45,21 @@
 	ratePerSecond float64
 	globalLevel   float64
 	localLevel    float64
+	isShort       bool
+	allowedPart   float64
+	routePart     float64
 }
 
+// IsShort reports whether the allotment was short, so that the route's precedence decided.
+func (d Decision) IsShort() bool { return d.isShort }
+
+// AllowedPart returns the part of the demand that a short allotment covered.
+func (d Decision) AllowedPart() float64 { return d.allowedPart }
+
+// RoutePart returns the part of the requests of the request's route that were allowed while
+// the allotment was short.
+func (d Decision) RoutePart() float64 { return d.routePart }
+
 // Rate returns the rate per second of the allotment that refused the request,
 // in tokens or requests.
 func (d Decision) Rate() float64 { return d.ratePerSecond }
