--- a/spokeentry/settings_test.go
+++ b/spokeentry/settings_test.go
@@ -1,6 +1,7 @@
 package spokeentry_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -53,6 +54,14 @@
 	switch name {
 	case "peer":
 		s.SeedPeers = []string{value}
+	case "caller_memory", "caller_connections":
+		number, err := strconv.Atoi(value)
+		require.NoError(t, err)
+		if name == "caller_memory" {
+			s.BudgetMegabytes = number
+		} else {
+			s.Connections = number
+		}
 	case "switch_off":
 		s.DisabledMechanisms = []string{value}
 	default:
--- a/spokememory/budget_test.go
+++ b/spokememory/budget_test.go
@@ -120,3 +120,30 @@
 		})
 	}
 }
+
+// TestOverrides guards against a flag that is ignored, or that overflows a bound.
+func TestOverrides(t *testing.T) {
+	cases := spokecase.Read[[]struct {
+		Name        string `yaml:"name"`
+		BudgetMB    int    `yaml:"budget_mb"`
+		Connections int    `yaml:"connections"`
+		Error       string `yaml:"error"`
+		// Want are the limits that replace derived ones of 1 MB and 10 connections.
+		WantBudgetMB    int64 `yaml:"want_budget_mb"`
+		WantConnections int   `yaml:"want_connections"`
+	}](t, "testdata/overrides.yaml")
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			overrides, err := OverridesFromFlags(c.BudgetMB, c.Connections)
+			if c.Error != "" {
+				require.ErrorContains(t, err, c.Error)
+				require.Equal(t, KindInvalidLimit, spokeerror.KindOf[Kind](err))
+				return
+			}
+			require.NoError(t, err)
+			limits := Limits{BudgetBytes: 1 << 20, Connections: 10}.Overridden(overrides)
+			require.Equal(t, c.WantBudgetMB, limits.BudgetBytes>>20)
+			require.Equal(t, c.WantConnections, limits.Connections)
+		})
+	}
+}
