--- a/spokerollout/answers.go
+++ b/spokerollout/answers.go
@@ -69,7 +69,7 @@
 	if answer.IsAnswer {
 		add(metricAnswers)
 		if isNew {
-			running.newAnswerAt = now
+			running.recordNewAnswer(now)
 		}
 	}
 	if answer.IsFailed {
@@ -181,7 +181,7 @@
 		}
 		if service, isNewAnswer := r.told.set(source, key, count, now); isNewAnswer {
 			if running := r.rollouts[service]; running != nil {
-				running.newAnswerAt = now
+				running.recordNewAnswer(now)
 			}
 		}
 	}
--- a/spokerollout/check.go
+++ b/spokerollout/check.go
@@ -77,7 +77,7 @@
 		return
 	}
 	cells := r.evidence(running)
-	found := judge(cells)
+	found := judge(cells, running.newAnswerAt > 0 && now-running.firstAnswerAt >= settleTime)
 	if found.isBad {
 		running.isFirstHand = true
 		r.conclude(running, StateRolledBack, found.reason)
--- a/spokerollout/judge.go
+++ b/spokerollout/judge.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 )
 
 // measure is one way in which a version can be bad.
@@ -19,16 +21,18 @@
 	// groups differ more between the versions if there are many.
 	minExcess    float64
 	excessPerOld float64
+	// needsTime is whether nothing is judged before settleTime.
+	needsTime bool
 }
 
-// Slow answers come in groups, as they wait for each other, so that they prove less than
-// as many failures. Broken answers are mostly those of crashed servers, which both
+// Slow answers come in groups, as they wait for each other, and the first answers of servers
+// that have just started are slow, so that they prove less than as many failures. Broken answers are mostly those of crashed servers, which both
 // versions have.
 var measures = []measure{
 	{name: "failures", bad: metricFailed, all: metricAnswers, level: 3e-5, minExcess: 0.03, excessPerOld: 0.35},
-	{name: "slow first events", bad: metricSlowFirst, all: metricTimed, level: 1e-7, minExcess: 0.3},
-	{name: "slow pauses", bad: metricSlowPause, all: metricPaced, level: 1e-7, minExcess: 0.3},
-	{name: "broken answers", bad: metricBroken, all: metricAnswers, level: 1e-12, minExcess: 0.4},
+	{name: "slow first events", bad: metricSlowFirst, all: metricTimed, level: 1e-7, minExcess: 0.3, needsTime: true},
+	{name: "slow pauses", bad: metricSlowPause, all: metricPaced, level: 1e-7, minExcess: 0.3, needsTime: true},
+	{name: "broken answers", bad: metricBroken, all: metricAnswers, level: 1e-12, minExcess: 0.4, needsTime: true},
 }
 
 const (
@@ -39,6 +43,9 @@
 	// minJudged is the number of answers of the new version below which nothing is
 	// judged.
 	minJudged = 8
+	// settleTime is the time from the first answer of the new version until it counts that
+	// answers are slow. By then those of servers that have just started are a small part.
+	settleTime = 2 * spokeclock.Second
 	// minCompared is the number of answers of the old version in a stage from which the
 	// two are compared within the stage. With fewer, the old version's part in all stages
 	// and unpairedMargin count.
@@ -75,11 +82,14 @@
 }
 
 // judge compares the new version with the old one by each measure, on each route and on
-// all routes.
-func judge(cells map[cellKey]int64) judgement {
+// all routes. IsSettled is whether the new version has answered for settleTime.
+func judge(cells map[cellKey]int64, isSettled bool) judgement {
 	var result judgement
 	routes := routesOf(cells)
 	for _, m := range measures {
+		if m.needsTime && !isSettled {
+			continue
+		}
 		for _, route := range append([]string{""}, routes...) {
 			compared := routes
 			name := "all routes"
--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -91,6 +91,8 @@
 	emptySince spokeclock.Millis
 	// newAnswerAt is when the newest answer of the ordered version became known, or zero.
 	newAnswerAt spokeclock.Millis
+	// firstAnswerAt is when the first one did.
+	firstAnswerAt spokeclock.Millis
 	// isReady is set when nothing stands against writing that the rollout has succeeded. It
 	// has succeeded once the row is read, which binds all instances.
 	isReady bool
@@ -109,6 +111,14 @@
 	cells map[cellKey]int64
 }
 
+// recordNewAnswer takes note that the ordered version has answered somewhere.
+func (r *rollout) recordNewAnswer(now spokeclock.Millis) {
+	if r.newAnswerAt == 0 {
+		r.firstAnswerAt = now
+	}
+	r.newAnswerAt = now
+}
+
 // Filter returns which versions may serve a request. Draw is a random number from 0 up to
 // 1 that stays with the request. FailedVersion is the version at which an attempt of the
 // request has failed, or empty.
