--- a/spokefleet/autoscaler.go
+++ b/spokefleet/autoscaler.go
@@ -9,6 +9,7 @@
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
+	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokelease"
 )
@@ -68,6 +69,10 @@
 	// OrderFunc orders a number of instances with a fencing number. It returns an
 	// error of kind KindNoCapacity if the platform has none.
 	OrderFunc func(ctx context.Context, fence spokelease.FencingNumber, order InstanceOrder, count int) error
+	// CarriesTrafficFunc reports whether servers of a software version take their part of a
+	// service's traffic. Others are no capacity, and no reason to release any: an operator
+	// starts the servers of a rollout beside those that serve. Nil means that all do.
+	CarriesTrafficFunc func(service, softwareVersion string) bool
 	// Clock is the time source. Nil means the real clock.
 	Clock *spokeclock.Clock
 	// Log receives the log messages.
@@ -163,7 +168,7 @@
 	for _, server := range a.Registry.Servers() {
 		instance := server.Instance()
 		index, found := slices.BinarySearch(dataCentres, instance.DataCentre)
-		if instance.Service != service.Name || !found || server.Candidate().Draining {
+		if instance.Service != service.Name || !found || server.Candidate().Draining || !a.carriesTraffic(instance) {
 			continue
 		}
 		if instance.Reclaimable {
@@ -175,6 +180,10 @@
 	return dataCentres, current
 }
 
+func (a *Autoscaler) carriesTraffic(instance spokecloud.Instance) bool {
+	return a.CarriesTrafficFunc == nil || a.CarriesTrafficFunc(instance.Service, instance.SoftwareVersion)
+}
+
 // plannedWork returns the number of busy servers to plan for. Until enough work has
 // been measured, it is at least the assumed work of the initial instances. Later it
 // is the recent peak.
