--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -134,21 +135,12 @@
 // While an order runs, its version's servers take a small share only; in the last stage the
 // other servers take none, and those of a barred version never do.
 func (r *Rollouts) CarriesTraffic(service, version string) bool {
-	rules := r.rules.Load()
-	if rules == nil {
-		return true
-	}
-	rule := (*rules)[service]
-	switch {
-	case slices.Contains(rule.barred, version):
-		return false
-	case rule.to == "":
-		return true
-	default:
-		return (version == rule.to) == (rule.share >= 1)
-	}
+	return r.Filter(service, highestDraw, "").Allows(version)
 }
 
+// highestDraw is the draw of the requests that go to the ordered version last.
+var highestDraw = math.Nextafter(1, 0)
+
 // SetOrders replaces the orders, by service. IsRestored is whether the table has been
 // restored from an older copy since the last call, so that rows may be missing that
 // nobody has removed.
--- a/spokerollout/rollouts_test.go
+++ b/spokerollout/rollouts_test.go
@@ -194,5 +194,13 @@
 	if next, isDue := s.instances[name].NextStatus(simulatedService, s.rows[name]); isDue {
 		writes = string(next.State) + " " + next.To
 	}
+	var carrying []string
+	for _, version := range []string{"v1", "v2", "v3"} {
+		if s.instances[name].CarriesTraffic(simulatedService, version) {
+			carrying = append(carrying, version)
+		}
+	}
+	// The fleet must not count servers to which most requests don't go.
+	require.Equal(s, allowed(0.999), strings.Join(carrying, " "), "versions that carry traffic")
 	return rolloutWant{Canary: allowed(0), Rest: allowed(0.999), Writes: writes}
 }
