spokebackoff: refused callers are given the times at which room comes back

Refused callers were told when the level of a bucket might be above zero, all the same, and most of those that came back were refused again. The limiter tells the room: what it allows of the route per second, after the time in which the rate pays the debt.

The bound has more room besides: an instance notes within twice the longest usual gap between any two heartbeats that it hears nobody, not after a whole interval, and a quarter of the tolerance is for late counts instead of three tenths.

--- a/spokelimit/allotment.go
+++ b/spokelimit/allotment.go
@@ -43,7 +43,7 @@
 	silentPeerTimeout = 15 * spokeclock.Second
 	// lateCountFraction is the fraction of the tolerance that late counts may use
 	// up. The rest is for requests that several instances allow at once.
-	lateCountFraction = 0.3
+	lateCountFraction = 0.25
 	// creditTime is the time in which instances spend what is left of a short allotment,
 	// and debtTime the time in which they save what was spent too much. With less than some
 	// two seconds, the corrections of many instances would overshoot, as their counts are up
@@ -110,7 +110,9 @@
 	// peer's heartbeats.
 	lastHeardAt  spokeclock.Millis
 	meanInterval spokeclock.Millis
-	memberCount  int
+	// maxGap is the longest time lately in which no peer was heard, in milliseconds.
+	maxGap      float64
+	memberCount int
 	// unheardFraction is the fraction of the members that have not been heard, and
 	// unknownFraction that of those whose demand is not known, as they were heard at most
 	// once.
@@ -231,6 +233,9 @@
 	if !decision.isAllowed {
 		decision.exceededLimit = "allotment"
 		decision.retryAfter = l.retryAfter(w, a, now)
+		decision.countsAge = now - l.lastHeardAt
+		decision.roomWait = l.roomWait(w, a, now)
+		decision.roomPerSecond = decision.routePart * a.routes[route.Name].costPerSecond(now)
 		return decision
 	}
 	l.deduct(w.Name, a, cost)
@@ -317,7 +322,8 @@
 }
 
 // hearsOthers reports whether this instance hears any peer, or knows that there are none.
-// It is cut off if none is heard for one interval; a single peer is silent only later.
+// Many peers are seldom all quiet at once, so that a cut shows long before a single peer
+// counts as silent.
 func (l *AllotmentLimiter) hearsOthers(now spokeclock.Millis) bool {
 	if len(l.peers) == 0 {
 		return l.memberCount == 1
@@ -325,7 +331,7 @@
 	if l.meanInterval == 0 {
 		return now-l.lastHeardAt <= newPeerTimeout
 	}
-	return now-l.lastHeardAt <= countDelay+l.meanInterval
+	return now-l.lastHeardAt <= countDelay+min(l.meanInterval, maxMissedHeartbeats*spokeclock.Millis(l.maxGap))
 }
 
 // allowedPart returns which part of a short allotment's demand may be spent: what the rate
@@ -381,6 +387,15 @@
 	return rand.Float64() //nolint:gosec // The draw needs no secrecy.
 }
 
+// roomWait returns the time in which the rate pays the debt of the level that decides.
+func (l *AllotmentLimiter) roomWait(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) spokeclock.Millis {
+	debt, rate := a.sums.unseen*a.recentPart.value-a.globalLevel, w.Allotment.Rate-a.sums.silentSpending
+	if !l.decidesBySums(now) {
+		debt, rate = -a.localLevel, w.Allotment.Rate*a.share
+	}
+	return min(maxRetryAfter, spokeclock.Millis(max(0, debt)/max(1, rate)*float64(spokeclock.Second)))
+}
+
 // retryAfter estimates the time until a request may be allowed: until the local
 // level reaches one or globalAllows would hold, whichever is earlier, and
 // maxRetryAfter at most.
@@ -422,7 +437,7 @@
 		p.interval = (intervalWeight*p.interval + interval) / (intervalWeight + 1)
 	}
 	p.lastHeardAt = now
-	l.lastHeardAt = now
+	l.recordGap(now)
 	l.recordInterval(p.interval)
 	for key, count := range counts {
 		before, counted := p.counts[key]
--- a/spokelimit/limit.go
+++ b/spokelimit/limit.go
@@ -48,8 +48,21 @@
 	isShort       bool
 	allowedPart   float64
 	routePart     float64
+	roomWait      spokeclock.Millis
+	roomPerSecond float64
+	countsAge     spokeclock.Millis
 }
 
+// CountsAge returns the time since any peer's counts were last received.
+func (d Decision) CountsAge() spokeclock.Millis { return d.countsAge }
+
+// RoomWait returns the time until a short allotment has paid what was spent too much.
+func (d Decision) RoomWait() spokeclock.Millis { return d.roomWait }
+
+// RoomPerSecond returns what this instance allows of the request's route per second while
+// the allotment is short, in tokens or requests.
+func (d Decision) RoomPerSecond() float64 { return d.roomPerSecond }
+
 // IsShort reports whether the allotment was short, so that the route's precedence decided.
 func (d Decision) IsShort() bool { return d.isShort }
 
--- a/spokelimit/precedence.go
+++ b/spokelimit/precedence.go
@@ -74,6 +74,11 @@
 	meanCost average
 }
 
+// costPerSecond returns the route's demand per second, in tokens or requests.
+func (r *routeDemand) costPerSecond(now spokeclock.Millis) float64 {
+	return r.requests.PerSecond(now) * r.meanCost.value
+}
+
 func newAllotmentState(startedAt spokeclock.Millis) *allotmentState {
 	return &allotmentState{
 		startedAt: startedAt, requests: spokerate.Rate{TimeConstant: surgeTimeConstant}, recentPart: decayingAverage{value: 1}, delayed: delayedRate{rate: spokerate.Rate{TimeConstant: demandTimeConstant}},
--- a/spokelimit/share.go
+++ b/spokelimit/share.go
@@ -13,6 +13,9 @@
 	// is late, besides countDelay.
 	lateNumerator   = 5
 	lateDenominator = 4
+	// gapDecay is the decay of the longest gap with each heartbeat of a peer. It is slow
+	// enough for peers whose heartbeats come all at once.
+	gapDecay = 0.995
 )
 
 // delayedRate is the demand of this instance as its peers know it: in steps of a heartbeat
@@ -139,6 +142,13 @@
 	}
 }
 
+// recordGap notes that a peer was heard. The end of a cut is no usual gap.
+func (l *AllotmentLimiter) recordGap(now spokeclock.Millis) {
+	gap := float64(min(now-l.lastHeardAt, l.meanInterval))
+	l.maxGap = max(gap, gapDecay*l.maxGap)
+	l.lastHeardAt = now
+}
+
 // recordInterval updates the mean time between a peer's heartbeats.
 func (l *AllotmentLimiter) recordInterval(interval spokeclock.Millis) {
 	switch {
