spokecore: refused callers come back in the order of the schedule

Refusals over an allotment get the time of spokebackoff, and so do those for want of servers (full, or none there), which were told 400 ms or a second, all the same. There the room is what the service has answered of the route in the last seconds, a part of it for less urgent routes; if nothing was answered, callers are spread between the wait and four times it. A caller whose server failed is told 400 ms as before, as other servers have room. The platform's instances use it; the core of spokeserve has no schedule and answers as before.

The log line of a refusal and two metrics show the parts, the room and the age of the counts.

go test ./spokelimit ./spokebackoff ./spokecore, and ./platform -run 'Limit|Allot|Origin|Limiter', pass. The effect of the schedule on refusals for want of servers is not measured.

--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -10,6 +10,7 @@
 
 	"mulberryspoke.example/mulberryspoke/spokeadmit"
 	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokebackoff"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
@@ -30,6 +31,9 @@
 	// Pool enforces the workspaces' allotments, which all entry instances share.
 	// Nil disables allotments.
 	Pool *spokelimit.AllotmentLimiter
+	// Backoff schedules when callers come back that are refused for want of room. Nil means
+	// that the allotment's estimate and constants do.
+	Backoff *spokebackoff.Schedule
 	// Limiter enforces this instance's share of the workspaces' rate limits. Nil
 	// disables them.
 	Limiter *spokelimit.Limiter
@@ -98,6 +102,7 @@
 	admissionQueue  spokeadmit.Queue
 	prefixLocations spokeroute.PrefixLocations
 	answerLengths   answerLengthEstimator
+	answered        answeredRates
 
 	mutex         sync.Mutex
 	routingPolicy spokeroute.Policy
--- a/spokecore/counters.go
+++ b/spokecore/counters.go
@@ -1,6 +1,10 @@
 package spokecore
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 const resultAnswered = "answered"
 
@@ -39,3 +43,14 @@
 		c.resumed.Inc()
 	}
 }
+
+// countLimited counts a request of a route that was over a limit of its workspace.
+func (c *Counters) countLimited(route string) {
+	c.set.GetOrCreateCounter(`spoke_limited_requests_total{route="` + route + `"}`).Inc()
+}
+
+// countSlot counts a refused caller by what it was refused for and whether room is expected
+// when it comes back.
+func (c *Counters) countSlot(reason string, hasRoom bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("spoke_scheduled_returns_total{reason=%q,room=\"%t\"}", reason, hasRoom)).Inc()
+}
--- a/spokecore/limit.go
+++ b/spokecore/limit.go
@@ -37,11 +37,19 @@
 // workspaceLimitRefusal logs and returns the refusal of a request whose
 // workspace is over a limit.
 func (r *requestRun) workspaceLimitRefusal(decision spokelimit.Decision) *Refusal {
+	retryAfter, hasRoom := decision.RetryAfter(), true
+	if r.core.Backoff != nil && decision.RoomPerSecond() > 0 {
+		slot := r.allotmentSlot(decision)
+		retryAfter, hasRoom = slot.RetryAfter(), slot.HasRoom()
+		r.core.Counters.countSlot("allotment", hasRoom)
+	}
 	r.core.Log.Info().Str("id", r.request.ID).Str("workspace", r.request.workspaceName()).Str("route", r.request.Route.Name).Str("limit", decision.ExceededLimit()).
 		Float64("cost", r.request.allotmentCost()).Float64("per_second", decision.Rate()).
 		Float64("allowed_part", decision.AllowedPart()).Float64("route_part", decision.RoutePart()).
-		Float64("level", decision.GlobalLevel()).Float64("credit", decision.LocalLevel()).Msg("Workspace is over its limit.")
-	return &Refusal{kind: KindWorkspaceLimit, notRun: true, retryAfter: decision.RetryAfter(), cause: errors.New("the workspace is over its " + decision.ExceededLimit())}
+		Float64("level", decision.GlobalLevel()).Float64("credit", decision.LocalLevel()).
+		Float64("room_per_second", decision.RoomPerSecond()).Bool("has_room", hasRoom).Int64("counts_age_millis", int64(decision.CountsAge())).Msg("Workspace is over its limit.")
+	r.core.Counters.countLimited(r.request.Route.Name)
+	return &Refusal{kind: KindWorkspaceLimit, notRun: true, retryAfter: retryAfter, cause: errors.New("the workspace is over its " + decision.ExceededLimit())}
 }
 
 // releaseLimits ends the request in the limiter and refunds the cost of a
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -202,10 +202,10 @@
 	case kind == KindQuarantined:
 		refusal.retryAfter = r.core.Quarantine.Find(r.subjects).Remaining
 	case kind == KindNoServer:
-		refusal.retryAfter = max(retryLater, r.core.Registry.NextResume(r.request.Service.Name))
+		refusal.retryAfter = r.serviceRetryAfter(max(retryLater, r.core.Registry.NextResume(r.request.Service.Name)))
 	case refusal.notRun && lastKind == KindNotRun:
 		refusal.kind = KindOverloaded
-		refusal.retryAfter = retrySoon
+		refusal.retryAfter = r.serviceRetryAfter(retrySoon)
 	case lastKind != "" && !lastKind.isAttemptOutcome():
 		refusal.kind = lastKind
 	default:
@@ -273,6 +273,7 @@
 		r.core.Counters.firstByte.Update(firstEventDelay.Duration().Seconds())
 	}
 	if refusal == nil {
+		r.service.answered.record(r.request.Route.Name, now)
 		r.core.Counters.CountResult(r.request.Service.Name, resultAnswered)
 		line.Msg("Request answered.")
 		return
