route: each candidate has its own cost of another data centre

Another data centre was a constant delay of 3 ms in the forecast, for every request and every server, so that a request left for a saving of 3 ms and nothing bounded how many did. The decision about this needs a place in the choice.

A candidate now carries its RemoteDelay, which the registry sets to the same 3 ms, and may be avoided, except for a prefix that is cached there. Retries and the rest of streams are not bound by that, and neither is a request for which no other server is left. Prefixes may be cached at one server of each data centre instead of at one of all.

Without avoided candidates nothing changes but the order in which the preferred server is sampled.

--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -62,7 +62,7 @@
 	peers := r.peerTotals[IDOf(s.instance.Name)]
 	slowness := s.slowness(median, now)
 	s.updateTrafficShare(slowness, now)
-	return spokeroute.Candidate{
+	candidate := spokeroute.Candidate{
 		Name: s.instance.Name, DataCentre: s.instance.DataCentre, SoftwareVersion: s.instance.SoftwareVersion,
 		Local:          s.instance.DataCentre == r.DataCentre,
 		Draining:       r.isClosed(s, now),
@@ -77,6 +77,10 @@
 		TrafficShare:   s.trafficShare,
 		PrefillBacklog: s.prefillBacklog + peers.PrefillUnits*tokensPerPrefillUnit,
 	}
+	if !candidate.Local {
+		candidate.RemoteDelay = spokeroute.DefaultRemoteDelay
+	}
+	return candidate
 }
 
 // LastResponseAt returns when a server of a data centre last sent part of a
--- a/spokeroute/candidate.go
+++ b/spokeroute/candidate.go
@@ -45,6 +45,12 @@
 	PrefillBacklog int
 	// DataCentreUnreachable is true if its data centre cannot be reached.
 	DataCentreUnreachable bool
+	// RemoteDelay is what a server of another data centre costs, in milliseconds of delay.
+	RemoteDelay float64
+	// IsAvoided is true if the request should not leave to its data centre. AllowsPrefix
+	// makes an exception if the request's prefix is expected in its cache.
+	IsAvoided    bool
+	AllowsPrefix bool
 }
 
 // Request describes what a choice depends on in a request.
@@ -63,6 +69,9 @@
 	EntryInstances int
 	// PrefixKey is the key of the shared prefix. Zero means none.
 	PrefixKey uint64
+	// HasLocalPrefixes is true if a shared prefix is cached at one server of each data
+	// centre, and false if at one of all.
+	HasLocalPrefixes bool
 	// SoftwareVersion is the version at which a stream began that is resumed, if
 	// IsResumed is set. No server of another version can go on with it.
 	SoftwareVersion string
--- a/spokeroute/forecast.go
+++ b/spokeroute/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,9 +28,9 @@
 	// slotDelay is the time, in milliseconds, until one of a full engine's slots
 	// becomes free.
 	slotDelay = 40.0
-	// remoteDelay is the round trip to another data centre, in milliseconds, plus
-	// a surcharge for the price of the bytes.
-	remoteDelay = 3.0
+	// DefaultRemoteDelay is the round trip to another data centre, in milliseconds, plus
+	// a surcharge for the price of the bytes, where nothing more exact is known.
+	DefaultRemoteDelay = 3.0
 	// unreachableDelay, in milliseconds, is large enough that a data centre which
 	// cannot be reached gets no new requests while there is any other.
 	unreachableDelay = 5000.0
@@ -63,17 +64,20 @@
 // chooseByForecast chooses the server with the earliest expected first token. A
 // shared prefix is expected in the caches of two servers: the preferred server
 // of rendezvous hashing, on which all instances agree without communication, and
-// the one that this instance last sent the prefix to.
+// the one that this instance last sent the prefix to. Where prefixes are cached in
+// each data centre, each has a preferred server.
 func (p *Policy) chooseByForecast(usable []Candidate, request Request) Decision {
 	if len(usable) == 1 {
 		return Decision{server: usable[0].Name, reason: ReasonOnlyCandidate, cost: firstTokenMillis(usable[0], request.PromptTokens), prefillTokens: request.PromptTokens}
 	}
-	preferred := rendezvousIndex(usable, request.PrefixKey)
-	usable, preferred = p.sample(usable, preferred, request.EntryInstances)
+	preferred := preferredServers(usable, request)
+	permitted, preferred := permittedCandidates(usable, preferred, request)
+	isReduced := len(permitted) < len(usable)
+	usable, preferred = p.sample(permitted, preferred, request.EntryInstances, sampleSizeOf(len(permitted), isReduced))
 	best, bestPrefill, bestCost := -1, 0, math.Inf(1)
 	for i, c := range usable {
 		prefill := request.PromptTokens
-		if i == preferred || c.PrefixCached {
+		if c.PrefixCached || slices.Contains(preferred, c.Name) {
 			prefill -= request.SharedPrefixTokens
 		}
 		cost := firstTokenMillis(c, prefill) + p.Random.Float64()*jitterDelay
@@ -82,7 +86,7 @@
 		}
 	}
 	reason := ReasonEarliestFirstToken
-	if best == preferred {
+	if slices.Contains(preferred, usable[best].Name) {
 		reason = ReasonCachedPrefix
 	}
 	return Decision{server: usable[best].Name, reason: reason, cost: bestCost, prefillTokens: bestPrefill}
@@ -93,30 +97,26 @@
 // server. The preferred server stays a candidate, and so does one to which this
 // instance has just sent the same prefix. It returns the candidates and the
 // index of the preferred one among them, or -1.
-func (p *Policy) sample(usable []Candidate, preferred, instances int) ([]Candidate, int) {
-	if instances <= MaxFullScanInstances || len(usable) <= sampleSize+1 {
+func (p *Policy) sample(usable []Candidate, preferred []string, instances, size int) ([]Candidate, []string) {
+	if instances <= MaxFullScanInstances || len(usable) <= size+1 {
 		return usable, preferred
 	}
-	sampled := make([]Candidate, 0, sampleSize+2)
-	sampledPreferred := -1
-	if preferred >= 0 {
-		sampled = append(sampled, usable[preferred])
-		sampledPreferred = 0
-	}
-	for i, c := range usable {
-		if c.PrefixCached && i != preferred {
+	sampled := make([]Candidate, 0, size+len(preferred)+1)
+	isPreferred := func(c Candidate) bool { return slices.Contains(preferred, c.Name) }
+	for _, c := range usable {
+		if c.PrefixCached || isPreferred(c) {
 			sampled = append(sampled, c)
 		}
 	}
-	for range sampleSize {
-		if at := p.Random.IntN(len(usable)); at != preferred {
-			sampled = append(sampled, usable[at])
+	for range size {
+		if c := usable[p.Random.IntN(len(usable))]; !isPreferred(c) {
+			sampled = append(sampled, c)
 		}
 	}
 	if len(sampled) == 0 {
-		return usable[:1], -1
+		return usable[:1], nil
 	}
-	return sampled, sampledPreferred
+	return sampled, preferred
 }
 
 // rendezvousIndex returns the index of the candidate that rendezvous hashing
@@ -158,7 +158,7 @@
 	waiting := max(0, load+1-queueingLoad*slots) * slotDelay
 	total := (prefill + load*runningDelay + waiting) * max(1, c.Slowness) / max(minTrafficShare, c.TrafficShare)
 	if !c.Local {
-		total += remoteDelay
+		total += c.RemoteDelay
 	}
 	if c.DataCentreUnreachable {
 		total += unreachableDelay
--- /dev/null
+++ b/spokeroute/locality.go
@@ -0,0 +1,74 @@
+package spokeroute
+
+import "slices"
+
+// QueuedMillis returns the time, in milliseconds, until a server of usual speed has
+// processed the prompts of the requests that it has and has a free slot.
+func QueuedMillis(c Candidate) float64 {
+	slots := float64(c.Slots)
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return float64(c.PrefillBacklog)/prefillRate + max(0, float64(estimatedLoad(c))-queueingLoad*slots)*slotDelay
+}
+
+// preferredServers returns the names of the servers at which a shared prefix is expected
+// by rendezvous hashing: one, or one of each data centre. Without a prefix there are none.
+func preferredServers(usable []Candidate, request Request) []string {
+	if request.PrefixKey == 0 {
+		return nil
+	}
+	if !request.HasLocalPrefixes {
+		return []string{usable[rendezvousIndex(usable, request.PrefixKey)].Name}
+	}
+	byDataCentre := make(map[string][]Candidate)
+	for _, c := range usable {
+		byDataCentre[c.DataCentre] = append(byDataCentre[c.DataCentre], c)
+	}
+	preferred := make([]string, 0, len(byDataCentre))
+	for _, candidates := range byDataCentre {
+		preferred = append(preferred, candidates[rendezvousIndex(candidates, request.PrefixKey)].Name)
+	}
+	slices.Sort(preferred)
+	return preferred
+}
+
+// permittedCandidates leaves out the servers of data centres to which the request should
+// not leave, and the preferred servers among them. A retry and the rest of a stream may be
+// served anywhere, and so may a request for which there is no other server.
+func permittedCandidates(usable []Candidate, preferred []string, request Request) ([]Candidate, []string) {
+	if request.IsResumed || len(request.TriedServers) > 0 {
+		return usable, preferred
+	}
+	isPermitted := func(c Candidate) bool {
+		return !c.IsAvoided || (c.AllowsPrefix && slices.Contains(preferred, c.Name))
+	}
+	if !slices.ContainsFunc(usable, func(c Candidate) bool { return !c.IsAvoided }) {
+		return usable, preferred
+	}
+	permitted := make([]Candidate, 0, len(usable))
+	var names []string
+	for _, c := range usable {
+		if !isPermitted(c) {
+			continue
+		}
+		permitted = append(permitted, c)
+		if slices.Contains(preferred, c.Name) {
+			names = append(names, c.Name)
+		}
+	}
+	return permitted, names
+}
+
+// sampledServers is the number of servers for each one that is compared.
+const sampledServers = 6
+
+// sampleSizeOf returns the number of random servers to compare. Of the few servers of one
+// data centre only some are compared, as the best of nearly all of them would be the same
+// one for all instances.
+func sampleSizeOf(servers int, isReduced bool) int {
+	if !isReduced {
+		return sampleSize
+	}
+	return min(sampleSize, max(1, servers/sampledServers))
+}
--- a/spokeroute/policy_test.go
+++ b/spokeroute/policy_test.go
@@ -1,6 +1,7 @@
 package spokeroute_test
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"testing"
 
@@ -18,12 +19,25 @@
 	TriedServers []string            `yaml:"avoid"`
 	// Resumed is the version at which a stream began that is resumed. A new one may be
 	// resumed later if it is Resumable, and should begin at Preferred, if set.
-	Resumed    string `yaml:"resumed"`
-	Resumable  bool   `yaml:"resumable"`
-	Preferred  string `yaml:"preferred"`
+	Resumed   string `yaml:"resumed"`
+	Resumable bool   `yaml:"resumable"`
+	Preferred string `yaml:"preferred"`
+	// PromptTokens is the length of the prompt, of which SharedTokens are a prefix with the
+	// key PrefixKey. LocalPrefixes is whether it is cached in each data centre.
+	PromptTokens  int    `yaml:"prompt_tokens"`
+	SharedTokens  int    `yaml:"shared_tokens"`
+	PrefixKey     uint64 `yaml:"prefix_key"`
+	LocalPrefixes bool   `yaml:"local_prefixes"`
+	// Instances is the number of entry instances.
+	Instances  int `yaml:"instances"`
 	Candidates []struct {
 		Name         string  `yaml:"name"`
 		Remote       bool    `yaml:"remote"`
+		DataCentre   string  `yaml:"data_centre"`
+		Avoided      bool    `yaml:"avoided"`
+		AllowsPrefix bool    `yaml:"allows_prefix"`
+		RemoteDelay  float64 `yaml:"remote_delay"`
+		Backlog      int     `yaml:"backlog"`
 		Draining     bool    `yaml:"leaving"`
 		Suspended    bool    `yaml:"suspended"`
 		Throttled    bool    `yaml:"throttled"`
@@ -46,6 +60,10 @@
 			Name: given.Name, Local: !given.Remote, Draining: given.Draining, Suspended: given.Suspended, Throttled: given.Throttled, Slots: 8,
 			InFlight: given.InFlight, LongInFlight: given.LongInFlight, ReportedLoad: given.ReportedLoad, Slowness: given.Slowness, TrafficShare: given.TrafficShare, PrefixCached: given.PrefixCached, SoftwareVersion: given.Version,
 		}
+		candidate.DataCentre, candidate.IsAvoided, candidate.AllowsPrefix, candidate.PrefillBacklog = given.DataCentre, given.Avoided, given.AllowsPrefix, given.Backlog
+		if given.Remote {
+			candidate.RemoteDelay = cmp.Or(given.RemoteDelay, spokeroute.DefaultRemoteDelay)
+		}
 		if candidate.TrafficShare == 0 {
 			candidate.TrafficShare = 1
 		}
@@ -65,6 +83,7 @@
 				decision := policy.Choose(c.candidates(), spokeroute.Request{
 					LongAnswer: c.LongAnswer, TriedServers: c.TriedServers, SoftwareVersion: c.Resumed, IsResumed: c.Resumed != "",
 					IsResumable: c.Resumable, PreferredVersion: c.Preferred, HasPreferredVersion: c.Preferred != "",
+					PromptTokens: c.PromptTokens, SharedPrefixTokens: c.SharedTokens, PrefixKey: c.PrefixKey, HasLocalPrefixes: c.LocalPrefixes, EntryInstances: c.Instances,
 				})
 				require.Equal(t, c.Server, decision.Server())
 				require.Equal(t, c.Reason, decision.Reason())
