fleet: work is also measured by the data centre that received it

The decision what leaves a data centre needs what the instances of each one receive. Requests in flight don't tell: they grow with a queue, wherever it is. The counters of work that instances send each other for the autoscaler do.

No byte more is sent. The autoscaler's figures are as before.

--- a/spokefleet/demand.go
+++ b/spokefleet/demand.go
@@ -22,17 +22,25 @@
 type Demand struct {
 	// Clock is the time source. Nil means the real clock.
 	Clock *spokeclock.Clock
+	// DataCentre is the data centre of this entry instance.
+	DataCentre string
+	// DataCentreFunc returns the data centre of a peer, or "" if it isn't known. Nil means
+	// that the work isn't measured by data centre.
+	DataCentreFunc func(peer string) string
 
 	mutex       sync.Mutex
 	localCounts map[string]int64
 	rates       map[string]*spokerate.Rate
 	peerCounts  map[string]*peerCounts
+	// dataCentreRates are the rates of the work of each data centre's instances.
+	dataCentreRates map[dataCentreService]*spokerate.Rate
 }
 
 // peerCounts are the last counters of one run of a peer.
 type peerCounts struct {
 	generation int64
 	counts     map[string]int64
+	heardAt    spokeclock.Millis
 }
 
 // AddEngineTime adds the time for which a request that has started is expected
@@ -45,6 +53,7 @@
 	}
 	d.localCounts[workPrefix+service] += int64(work)
 	d.addWork(service, float64(work))
+	d.addDataCentreWork(service, d.DataCentre, float64(work))
 }
 
 func (d *Demand) addWork(service string, work float64) {
@@ -77,6 +86,8 @@
 		p = &peerCounts{generation: generation, counts: make(map[string]int64)}
 		d.peerCounts[peer] = p
 	}
+	p.heardAt = d.Clock.Now()
+	dataCentre := d.dataCentreOf(peer)
 	for key, count := range counts {
 		service, isWork := strings.CutPrefix(key, workPrefix)
 		if !isWork {
@@ -87,6 +98,7 @@
 		// The first count of a run is only the basis of the next increase.
 		if known && count > previous {
 			d.addWork(service, float64(count-previous))
+			d.addDataCentreWork(service, dataCentre, float64(count-previous))
 		}
 	}
 }
