locality: shares stay as they are within a dead band

A share followed each small change of its plan, with a log line for each. A difference of less than 0.04 from the plan now changes nothing.

Two cases of few instances join the comparison, as these know each other's requests within 0.2 to 0.5 s and could do without shares.

--- a/spokelocality/comparison_test.go
+++ b/spokelocality/comparison_test.go
@@ -49,12 +49,14 @@
 }
 
 type comparisonCase struct {
-	Name      string      `yaml:"name"`
-	Instances int         `yaml:"instances"`
-	Servers   int         `yaml:"servers_per_data_centre"`
-	Seconds   int         `yaml:"seconds"`
-	Kinds     []loadKind  `yaml:"kinds"`
-	Events    []loadEvent `yaml:"events"`
+	Name      string `yaml:"name"`
+	Instances int    `yaml:"instances"`
+	Servers   int    `yaml:"servers_per_data_centre"`
+	Seconds   int    `yaml:"seconds"`
+	// Ages are the least and the largest age of what instances know of others.
+	Ages   [2]spokeclock.Millis `yaml:"age_millis"`
+	Kinds  []loadKind           `yaml:"kinds"`
+	Events []loadEvent          `yaml:"events"`
 	// OtherWays are ways of choosing that are measured beside the constant delay of 3 ms and
 	// the decided shares.
 	OtherWays []string `yaml:"other_ways"`
@@ -263,7 +265,8 @@
 
 // ageOf returns the age of what an instance knows of others, in steps of the history.
 func (m *model) ageOf(instance int) spokeclock.Millis {
-	return spokeclock.Millis(10 + instance*10/m.Instances)
+	least, most := m.Ages[0]/historyStep, m.Ages[1]/historyStep
+	return least + spokeclock.Millis(instance)*(most-least)/spokeclock.Millis(m.Instances)
 }
 
 // knownLoads returns the loads of all servers, as an instance knows them.
--- a/spokelocality/decision.go
+++ b/spokelocality/decision.go
@@ -1,6 +1,7 @@
 package spokelocality
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -73,6 +74,7 @@
 			delete(s.remotes, name)
 		}
 	}
+	s.names = sortedNames(s.remotes)
 	for name := range s.demands {
 		if !seen[name] {
 			delete(s.demands, name)
@@ -152,6 +154,8 @@
 		return target
 	case dataCentre.Age > maxAge:
 		return min(other.share, max(d.shownShare(other), other.share-step))
+	case target > 0 && other.share > 0 && math.Abs(target-other.share) < deadBand:
+		return other.share
 	case target > other.share && d.observation.DataCentres[d.own].Age > maxAge:
 		return other.share
 	case target > other.share:
--- a/spokelocality/router.go
+++ b/spokelocality/router.go
@@ -29,6 +29,8 @@
 	// minShare is the share below which none leave. It is above the smallest share that a
 	// plan can have.
 	minShare = 0.05
+	// deadBand is the difference from the planned share up to which a share stays as it is.
+	deadBand = 0.04
 	// prefillRate is the number of tokens that a server reads in a millisecond.
 	prefillRate = 50.0
 )
@@ -59,6 +61,8 @@
 	// isActive is whether there is anything to decide.
 	isActive bool
 	remotes  map[string]*remote
+	// names are those of the remotes, in order.
+	names    []string
 	own      evidence
 	demands  map[string]*trend
 	kinds    map[string]*transfer
@@ -117,14 +121,20 @@
 type Permit struct {
 	isActive bool
 	// target is the data centre that should serve the request.
-	target string
-	// costs are the costs of leaving by data centre, in milliseconds.
-	costs map[string]float64
-	// closed are the data centres that have nothing to spare.
-	closed           map[string]bool
+	target           string
+	others           []otherPermit
 	hasLocalPrefixes bool
 }
 
+// otherPermit is what a request may do at another data centre.
+type otherPermit struct {
+	dataCentre string
+	// leaveCost is the cost of leaving, in milliseconds.
+	leaveCost float64
+	// isOpen is whether it has something to spare.
+	isOpen bool
+}
+
 // IsActive reports whether there was anything to decide. Otherwise a request may be served
 // anywhere, at the usual cost.
 func (p Permit) IsActive() bool { return p.isActive }
@@ -140,7 +150,20 @@
 // AllowsPrefix reports whether a data centre may serve the request if its prefix is cached
 // there, although it may not otherwise.
 func (p Permit) AllowsPrefix(dataCentre string) bool {
-	return p.Allows(dataCentre) || (!p.hasLocalPrefixes && !p.closed[dataCentre])
+	if p.Allows(dataCentre) {
+		return true
+	}
+	other, isOther := p.other(dataCentre)
+	return !p.hasLocalPrefixes && (!isOther || other.isOpen)
+}
+
+func (p Permit) other(dataCentre string) (otherPermit, bool) {
+	for _, other := range p.others {
+		if other.dataCentre == dataCentre {
+			return other, true
+		}
+	}
+	return otherPermit{}, false
 }
 
 // HasLocalPrefixes reports whether prefixes are cached at one server of each data centre
@@ -148,7 +171,10 @@
 func (p Permit) HasLocalPrefixes() bool { return p.isActive && p.hasLocalPrefixes }
 
 // LeaveCost returns the cost of leaving to a data centre, in milliseconds of delay.
-func (p Permit) LeaveCost(dataCentre string) float64 { return p.costs[dataCentre] }
+func (p Permit) LeaveCost(dataCentre string) float64 {
+	other, _ := p.other(dataCentre)
+	return other.leaveCost
+}
 
 // IsDue reports whether a service needs a new observation.
 func (r *Router) IsDue(serviceName string) bool {
@@ -186,6 +212,7 @@
 	s.isActive = observation.isKnown(r.DataCentre)
 	if !s.isActive {
 		clear(s.remotes)
+		s.names = nil
 		return
 	}
 	d := decision{router: r, service: s, name: serviceName, observation: observation, now: now, elapsed: min(elapsed, 2*decideInterval)}
@@ -201,19 +228,18 @@
 	if !s.isActive {
 		return Permit{}
 	}
-	permit := Permit{isActive: true, target: r.DataCentre, hasLocalPrefixes: s.hasLocalPrefixes, costs: make(map[string]float64), closed: make(map[string]bool)}
+	permit := Permit{isActive: true, target: r.DataCentre, hasLocalPrefixes: s.hasLocalPrefixes, others: make([]otherPermit, 0, len(s.names))}
 	bytes := s.transferOf(kind.Route).bytes(kind.RequestBytes)
 	drawn := r.RandomFunc()
-	for name, other := range s.remotes {
-		permit.costs[name] = r.leaveCost(bytes) + other.badPart()*float64(s.firstEventTarget())
-		permit.closed[name] = !other.isOpen
-	}
-	for _, name := range sortedNames(s.remotes) {
-		if drawn < s.remotes[name].share {
+	for _, name := range s.names {
+		other := s.remotes[name]
+		permit.others = append(permit.others, otherPermit{
+			dataCentre: name, leaveCost: r.leaveCost(bytes) + other.badPart()*float64(s.firstEventTarget()), isOpen: other.isOpen,
+		})
+		if drawn >= 0 && drawn < other.share {
 			permit.target = name
-			break
 		}
-		drawn -= s.remotes[name].share
+		drawn -= other.share
 	}
 	return permit
 }
