core: the decided shares reach the choice of a server

The core asks the locality decision once for each request to a model service and sets the candidates' cost and whether they are avoided. It gives the decision what the registry has of the servers, what instances receive, and its own answers: first events in time or late, failures to begin an answer, sizes of answers. A retry, the rest of a stream, and a request whose target can't be reached are not bound.

Bytes that leave are counted by pair of data centres and direction, shares are a gauge, and each change of a share is one log line with its inputs and their age, two a second at most for each service and data centre.

Without a decision everything is as before; plain services aren't affected.

--- /dev/null
+++ b/spokebackend/locality.go
@@ -0,0 +1,30 @@
+package spokebackend
+
+import (
+	"mulberryspoke.example/mulberryspoke/spokelocality"
+	"mulberryspoke.example/mulberryspoke/spokeroute"
+)
+
+// DataCentres returns the data centres of the servers of a service, by name, with the
+// servers that get new requests and the work that they have yet to do.
+func (r *Registry) DataCentres(service string) map[string]spokelocality.DataCentre {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.Clock.Now()
+	median := r.medianGap(service)
+	byName := make(map[string]spokelocality.DataCentre)
+	for _, s := range r.servers {
+		if s.instance.Service != service {
+			continue
+		}
+		d := byName[s.instance.DataCentre]
+		d.Name = s.instance.DataCentre
+		if !r.isClosed(s, now) && now >= s.suspendedUntil {
+			c := r.candidate(s, median, now)
+			d.Servers += c.TrafficShare / max(1, c.Slowness)
+			d.Queued += spokeroute.QueuedMillis(c)
+		}
+		byName[d.Name] = d
+	}
+	return byName
+}
--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -36,6 +36,7 @@
 		r.core.Counters.replaced.Inc()
 		return spokeerror.Newf("read answer", KindServerFailureRetried, "the backend server reported a failure")
 	}
+	r.answerBytes = len(buffered)
 	length := int64(len(buffered))
 	if length > maxBufferedAnswer {
 		length = -1
@@ -73,6 +74,7 @@
 	for forwarded := maxBufferedAnswer; ; {
 		n, err := response.Body.Read(chunk)
 		forwarded += n
+		r.answerBytes = forwarded
 		if forwarded > maxAnswerBytes {
 			return spokeerror.Newf("read answer", KindInvalidAnswer, "the answer is longer than %d bytes", maxAnswerBytes)
 		}
@@ -101,6 +103,7 @@
 			w.recordEvent()
 			if isFirst {
 				r.answerStartedAt = r.core.Clock.Now()
+				r.recordFirstEvent(attempt)
 			}
 			isFirst = false
 		}
@@ -137,6 +140,7 @@
 		return spokeerror.Newf("read events", KindInvalidAnswer, "event %.*q follows event %.*q", maxExcerpt, event.ID, maxExcerpt, r.lastEventID)
 	}
 	r.eventCount.Add(1)
+	r.answerBytes += len(event.Raw)
 	if !event.isComment() {
 		r.cannotResume.Store(event.ID == "" || !r.request.isResumable())
 	}
--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -61,6 +61,7 @@
 	r.executions.Add(1)
 	r.triedAddresses = append(r.triedAddresses, attempt.Instance().Address)
 	r.answerStartedAt, r.isDelimited = 0, false
+	r.attemptSentAt, r.answerBytes = r.core.Clock.Now(), 0
 	response, err := r.callbacks.SendAttemptFunc(ctx, Attempt{
 		Server: attempt.Instance(), MovedFrom: movedFrom, TimeLeft: r.timeLeft(), Urgency: r.request.urgency(), LastEventID: r.lastEventID,
 		IsResent: slices.Contains(r.triedAddresses[:len(r.triedAddresses)-1], attempt.Instance().Address),
@@ -100,6 +101,7 @@
 	if kind == KindMoved {
 		r.movedFrom = attempt.Instance()
 	}
+	r.recordTransfer(ctx, attempt, err)
 	switch {
 	case err == nil:
 		attempt.Succeed()
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -13,7 +13,9 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
+	"mulberryspoke.example/mulberryspoke/spokefleet"
 	"mulberryspoke.example/mulberryspoke/spokelimit"
+	"mulberryspoke.example/mulberryspoke/spokelocality"
 	"mulberryspoke.example/mulberryspoke/spokeorigin"
 	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spokeretry"
@@ -69,6 +71,12 @@
 	// ReachableFunc reports whether a data centre can be reached. Nil means that
 	// all can.
 	ReachableFunc func(dataCentre string) bool
+	// Locality decides which requests may leave the data centre. Nil means that another
+	// data centre costs all requests the same.
+	Locality *spokelocality.Router
+	// DataCentreDemandFunc returns the work of a service by the data centre whose entry
+	// instances received it. It must be set if Locality is.
+	DataCentreDemandFunc func(service string) map[string]spokefleet.DataCentreDemand
 	// MemberCountFunc returns the number of entry instances that share the limits
 	// and the retry budget, including this one. Nil means one.
 	MemberCountFunc func() int
@@ -240,8 +248,12 @@
 	if c.Origins != nil && routeRequest.IsResumable {
 		routeRequest.PreferredVersion, routeRequest.HasPreferredVersion = c.Origins.PreferredVersion(r.request.Service.Name)
 	}
+	routing := routingOf(r.request, entryInstances)
+	if routing == spokeconfig.RoutingEarliestFirstToken {
+		r.applyLocality(candidates, &routeRequest)
+	}
 	s.mutex.Lock()
-	s.routingPolicy.Routing = routingOf(r.request, entryInstances)
+	s.routingPolicy.Routing = routing
 	decision := s.routingPolicy.Choose(candidates, routeRequest)
 	s.mutex.Unlock()
 	c.placements.add(Placement{chosenAt: c.Clock.Now(), workspace: r.request.workspaceName(), service: r.request.Service.Name, decision: decision})
--- a/spokecore/counters.go
+++ b/spokecore/counters.go
@@ -1,6 +1,10 @@
 package spokecore
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 const resultAnswered = "answered"
 
@@ -39,3 +43,18 @@
 		c.resumed.Inc()
 	}
 }
+
+// countRemoteBytes counts the bytes of one attempt at a server of another data centre.
+func (c *Counters) countRemoteBytes(from, to string, requestBytes, answerBytes int) {
+	for _, part := range []struct {
+		direction string
+		bytes     int
+	}{{"request", requestBytes}, {"answer", answerBytes}} {
+		c.set.GetOrCreateCounter(fmt.Sprintf("spoke_remote_bytes_total{from=%q,to=%q,direction=%q}", from, to, part.direction)).Add(part.bytes)
+	}
+}
+
+// setLocalityShare sets the share of a service's requests that leave to a data centre.
+func (c *Counters) setLocalityShare(service, from, to string, share float64) {
+	c.set.GetOrCreateGauge(fmt.Sprintf("spoke_locality_share{service=%q,from=%q,to=%q}", service, from, to), nil).Set(share)
+}
--- a/spokecore/request.go
+++ b/spokecore/request.go
@@ -34,6 +34,8 @@
 	// Zero means unknown.
 	PromptTokens int
 	AnswerTokens int
+	// BodyBytes is the size of the request's body. Zero means unknown.
+	BodyBytes int
 	// ContentKey identifies what is requested: requests with the same path, caller and
 	// body have the same key. Empty means unknown.
 	ContentKey string
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -8,6 +8,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokelocality"
 	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spokeroute"
 )
@@ -54,6 +55,13 @@
 	headWritten      bool
 	// answerStartedAt is when the first event of the present attempt arrived, or zero.
 	answerStartedAt spokeclock.Millis
+	// attemptSentAt is when the present attempt was sent, and answerBytes the size of its
+	// answer so far.
+	attemptSentAt spokeclock.Millis
+	answerBytes   int
+	// localityPermit is where the request may be served, if hasPermit is set.
+	localityPermit spokelocality.Permit
+	hasPermit      bool
 	// isDelimited is whether the end of the present attempt's answer can't be mistaken
 	// for a lost connection.
 	isDelimited bool
