locality: queues correct how busy the expected work makes servers

What a request is expected to cost an engine is the autoscaler's estimate.

The queues at the servers show what these are busy with; the demand is now scaled down to it, over five seconds and to a half at least. A queue of servers that are asked for more than they can do doesn't tell that, so that the scale stays as it is then. What a data centre has to spare ends where the expected wait is the shortest time to a first event, and not half of it.

In the scripted cases a queue now follows from the load unless it is given.

--- a/cmd/mulberryspoke/platform.go
+++ b/cmd/mulberryspoke/platform.go
@@ -22,7 +22,7 @@
 	Routing        string  `long:"locality" env:"MULBERRYSPOKE_LOCALITY" description:"Whether a request leaves the data centre: decided (by load and cost) or constant (another data centre costs 3 ms)" choice:"decided" choice:"constant" default:"decided"`
 	RoundTrip      int64   `long:"remote-round-trip-millis" env:"MULBERRYSPOKE_REMOTE_ROUND_TRIP" description:"Time in milliseconds that a request to another data centre takes longer, there and back" default:"2"`
 	MegabytePrice  int64   `long:"remote-megabyte-price-millis" env:"MULBERRYSPOKE_REMOTE_MEGABYTE_PRICE" description:"Delay in milliseconds that is better than the transfer of a megabyte to another data centre" default:"50"`
-	MaxWait        int64   `long:"remote-max-wait-millis" env:"MULBERRYSPOKE_REMOTE_MAX_WAIT" description:"Expected wait in milliseconds up to which a data centre takes requests of others; half of the shortest target of the first event if 0" default:"0"`
+	MaxWait        int64   `long:"remote-max-wait-millis" env:"MULBERRYSPOKE_REMOTE_MAX_WAIT" description:"Expected wait in milliseconds up to which a data centre takes requests of others; the shortest target of the first event if 0" default:"0"`
 	SharePerSecond float64 `long:"remote-share-per-second" env:"MULBERRYSPOKE_REMOTE_SHARE_PER_SECOND" description:"Largest rise in a second of the fraction of requests that leave the data centre; none leave if 0" default:"0.8"`
 	PrefixLifetime int64   `long:"prefix-lifetime-millis" env:"MULBERRYSPOKE_PREFIX_LIFETIME" description:"Time in milliseconds for which an engine with a cache of unknown size keeps an unused prefix" default:"30000"`
 }
--- a/spokelocality/comparison_test.go
+++ b/spokelocality/comparison_test.go
@@ -1,6 +1,7 @@
 package spokelocality_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -54,9 +55,12 @@
 	Servers   int    `yaml:"servers_per_data_centre"`
 	Seconds   int    `yaml:"seconds"`
 	// Ages are the least and the largest age of what instances know of others.
-	Ages   [2]spokeclock.Millis `yaml:"age_millis"`
-	Kinds  []loadKind           `yaml:"kinds"`
-	Events []loadEvent          `yaml:"events"`
+	Ages [2]spokeclock.Millis `yaml:"age_millis"`
+	// WorkScale is what instances expect of a request's work, as a factor of what it is.
+	// Zero means 1.
+	WorkScale float64     `yaml:"work_scale"`
+	Kinds     []loadKind  `yaml:"kinds"`
+	Events    []loadEvent `yaml:"events"`
 	// OtherWays are ways of choosing that are measured beside the constant delay of 3 ms and
 	// the decided shares.
 	OtherWays []string `yaml:"other_ways"`
@@ -327,7 +331,7 @@
 	observation := spokelocality.Observation{CacheTokens: 478991}
 	age := m.ageOf(instance)
 	for index, name := range dataCentreNames {
-		d := spokelocality.DataCentre{Name: name, Instances: m.Instances / len(dataCentreNames), Age: age * historyStep, Busy: m.workHistory[max(0, len(m.workHistory)-1-int(age))][index]}
+		d := spokelocality.DataCentre{Name: name, Instances: m.Instances / len(dataCentreNames), Age: age * historyStep, Busy: m.workHistory[max(0, len(m.workHistory)-1-int(age))][index] * cmp.Or(m.WorkScale, 1)}
 		for i, s := range m.servers {
 			if s.dataCentre == name && !s.isGone {
 				d.Servers++
--- a/spokelocality/decision.go
+++ b/spokelocality/decision.go
@@ -33,6 +33,7 @@
 	d.updateRemotes()
 	d.leaveCost = d.router.leaveCost(d.service.all.bytes(0))
 	d.requestMillis = d.service.work.requestMillis()
+	d.calibrate()
 	d.plan()
 	for i, dataCentre := range d.observation.DataCentres {
 		if i != d.own {
@@ -42,6 +43,34 @@
 	d.decidePrefixes()
 }
 
+// calibrate lowers the demands if the queues at the servers show that these are less busy
+// than the expected work of the requests would make them. With too high demands, no data
+// centre seems to have anything to spare. Where servers can't do what is demanded, queues
+// don't tell how much that is.
+func (d *decision) calibrate() {
+	s := d.service
+	if s.scale == 0 {
+		s.scale = 1
+	}
+	busy, shownBusy, isSaturated := 0.0, 0.0, false
+	for _, dataCentre := range d.observation.DataCentres {
+		busy += dataCentre.Busy
+		if dataCentre.Servers > 0 {
+			queued := dataCentre.Queued / dataCentre.Servers
+			load := queued / (d.requestMillis + queued)
+			shownBusy += dataCentre.Servers * load
+			isSaturated = isSaturated || (load > saturatedLoad && s.scale*dataCentre.Busy > dataCentre.Servers)
+		}
+	}
+	if busy > 0 && !isSaturated {
+		shown := min(1, max(minScale, shownBusy/busy))
+		s.scale += (shown - s.scale) * (1 - math.Exp(-float64(d.elapsed)/float64(scaleTime)))
+	}
+	for i := range d.observation.DataCentres {
+		d.observation.DataCentres[i].Busy *= s.scale
+	}
+}
+
 // addOwn finds the own data centre and adds it if it has neither servers nor demand.
 func (d *decision) addOwn() {
 	isOwn := func(c DataCentre) bool { return c.Name == d.router.DataCentre }
--- a/spokelocality/permit_test.go
+++ b/spokelocality/permit_test.go
@@ -54,7 +54,7 @@
 func (c prefixCase) observation() spokelocality.Observation {
 	observation := spokelocality.Observation{CacheTokens: c.CacheTokens}
 	for _, name := range dataCentreNames {
-		d := spokelocality.DataCentre{Name: name, Servers: c.Servers, Busy: c.Servers / 4, Instances: c.Instances, Age: spokeclock.Second}
+		d := spokelocality.DataCentre{Name: name, Servers: c.Servers, Busy: c.Servers / 4, Queued: queuedAt(c.Servers/4, c.Servers), Instances: c.Instances, Age: spokeclock.Second}
 		if name == "a" && c.LocalServers != nil {
 			d.Servers = *c.LocalServers
 		}
@@ -120,7 +120,7 @@
 	require.Empty(t, permit.Target())
 
 	observation := prefixCase{Servers: 8, Instances: 2}.observation()
-	observation.DataCentres[0].Busy = 12
+	observation.DataCentres[0].Busy, observation.DataCentres[0].Queued = 12, queuedAt(12, 8)
 	for range 10 {
 		router.Observe(testService, observation)
 		clock.Advance(decideInterval)
--- a/spokelocality/router.go
+++ b/spokelocality/router.go
@@ -21,6 +21,12 @@
 	minRise       = 0.1
 	// maxRise bounds the factor by which a rise is carried on over the age of its report.
 	maxRise = 2.0
+	// scaleTime is the time in which the scale of the demand approaches what queues show by
+	// 1-1/e, and minScale its least value.
+	scaleTime = 5 * spokeclock.Second
+	minScale  = 0.5
+	// saturatedLoad is the load from which servers may be unable to do what is demanded.
+	saturatedLoad = 0.93
 	// minBusy is the least demand of the own data centre, in busy servers.
 	minBusy = 0.01
 	// defaultRequestMillis is the time for which a request keeps a server busy where none
@@ -69,6 +75,9 @@
 	all      transfer
 	prefixes prefixes
 	work     workload
+	// scale is the part of the expected work of requests that keeps servers busy. Zero
+	// means that there was no decision yet.
+	scale float64
 	// hasLocalPrefixes is whether prefixes are cached in each data centre.
 	hasLocalPrefixes bool
 	// target is the least time within which the first event of a request is due.
--- a/spokelocality/router_test.go
+++ b/spokelocality/router_test.go
@@ -14,21 +14,36 @@
 	testService    = "s"
 	decideInterval = 500 * spokeclock.Millis(1)
 	slotsPerServer = 48
+	// requestMillis is the time for which a request keeps a server busy.
+	requestMillis = 150.0
 )
 
 type givenDataCentre struct {
 	Servers     float64           `yaml:"servers"`
 	Busy        float64           `yaml:"busy"`
-	Queued      float64           `yaml:"queued"`
+	Queued      *float64          `yaml:"queued"`
 	Instances   int               `yaml:"instances"`
 	Age         spokeclock.Millis `yaml:"age"`
 	Unreachable bool              `yaml:"unreachable"`
 }
 
 func (g givenDataCentre) dataCentre(name string) spokelocality.DataCentre {
+	queued := queuedAt(g.Busy, g.Servers)
+	if g.Queued != nil {
+		queued = *g.Queued
+	}
 	return spokelocality.DataCentre{
-		Name: name, Servers: g.Servers, Busy: g.Busy, Queued: g.Queued, Instances: g.Instances, Age: g.Age, IsUnreachable: g.Unreachable,
+		Name: name, Servers: g.Servers, Busy: g.Busy, Queued: queued, Instances: g.Instances, Age: g.Age, IsUnreachable: g.Unreachable,
+	}
+}
+
+// queuedAt returns the work that servers have yet to do if requests come at random.
+func queuedAt(busy, servers float64) float64 {
+	if servers <= 0 {
+		return 0
 	}
+	load := min(0.95, busy/servers)
+	return servers * requestMillis * load / (1 - load)
 }
 
 type shareStep struct {
@@ -66,7 +81,7 @@
 		t.Logf("%+v", change)
 		require.NotEqual(t, change.Before, change.After)
 	}
-	router.Permit(testService, spokelocality.Kind{Route: "r", FirstEventTarget: 500, Work: 150})
+	router.Permit(testService, spokelocality.Kind{Route: "r", FirstEventTarget: 500, Work: requestMillis})
 	known := make(map[string]givenDataCentre)
 	for i, step := range c.Steps {
 		for name, given := range step.DataCentres {
--- a/spokelocality/settings.go
+++ b/spokelocality/settings.go
@@ -11,7 +11,7 @@
 	// that a megabyte is transferred to another data centre.
 	MegabytePrice spokeclock.Millis
 	// MaxWait is the expected wait for a server, in milliseconds, up to which a data centre
-	// has something to spare for others. With zero it is half of the time within which the
+	// has something to spare for others. With zero it is the shortest time within which a
 	// first event is due.
 	MaxWait spokeclock.Millis
 	// SharePerSecond bounds by how much the share of requests that leave, to all other
@@ -30,11 +30,9 @@
 }
 
 const (
-	// targetPart is the part of the time to the first event that a data centre which takes
-	// requests of others may spend on waiting.
-	targetPart = 0.5
-	// startPart is the part of that time that must be saved before the first requests
-	// leave, and keepPart the part that must be saved for them to go on leaving.
+	// startPart is the part of the time to the first event that must be saved before the
+	// first requests leave, and keepPart the part that must be saved for them to go on
+	// leaving.
 	startPart = 0.05
 	keepPart  = 0.01
 	// defaultTarget is the time within which the first event is due where no route tells.
@@ -47,5 +45,5 @@
 	if s.MaxWait > 0 {
 		return float64(s.MaxWait)
 	}
-	return targetPart * float64(target)
+	return float64(target)
 }
