backend: a server without a free slot still counts as one of its data centre

It is suspended for 150 ms. With one server in a data centre, that looked like none, and all requests left until the share had fallen again.

--- a/spokebackend/locality.go
+++ b/spokebackend/locality.go
@@ -19,7 +19,9 @@
 		}
 		d := byName[s.instance.DataCentre]
 		d.Name = s.instance.DataCentre
-		if !r.isClosed(s, now) && now >= s.suspendedUntil {
+		// A server without a free slot is suspended for a moment, but still counts.
+		hasFailed := s.failures > 0 && now < s.suspendedUntil
+		if !r.isClosed(s, now) && !hasFailed {
 			c := r.candidate(s, median, now)
 			d.Servers += c.TrafficShare / max(1, c.Slowness)
 			d.Queued += spokeroute.QueuedMillis(c)
