locality: only the queued part of the work corrects the demand

Queues hold prompts, not the decoding of answers. Queues are now held against the part of the work before the first token, and not at all where that is less than a fifth. The comparison, where all work is of that kind, gives the same figures.

--- a/spokecore/locality.go
+++ b/spokecore/locality.go
@@ -60,6 +60,7 @@
 	}
 	if engine := r.request.Service.Engine; engine != nil {
 		answerTokens := r.service.answerLengths.expectedTokens(r.request.Route.Name, r.request.AnswerTokens)
+		kind.PrefillWork = float64(spokeroute.EngineTime(r.request.PromptTokens-r.sharedPrefixTokens, 0, engine.Slots))
 		kind.Work = float64(spokeroute.EngineTime(r.request.PromptTokens-r.sharedPrefixTokens, answerTokens, engine.Slots))
 	}
 	return kind
--- a/spokelocality/comparison_test.go
+++ b/spokelocality/comparison_test.go
@@ -323,7 +323,7 @@
 		router.Observe(testService, m.observe(instance, known))
 	}
 	return router.Permit(testService, spokelocality.Kind{
-		Route: kind.Name, RequestBytes: kind.Bytes, FirstEventTarget: kind.Target, Work: float64(kind.Own / tokensPerMilli), PromptTokens: kind.Shared + kind.Own, SharedPrefixTokens: kind.Shared, PrefixKey: key,
+		Route: kind.Name, RequestBytes: kind.Bytes, FirstEventTarget: kind.Target, Work: float64(kind.Own / tokensPerMilli), PrefillWork: float64(kind.Own / tokensPerMilli), PromptTokens: kind.Shared + kind.Own, SharedPrefixTokens: kind.Shared, PrefixKey: key,
 	})
 }
 
--- a/spokelocality/decision.go
+++ b/spokelocality/decision.go
@@ -45,8 +45,9 @@
 
 // calibrate lowers the demands if the queues at the servers show that these are less busy
 // than the expected work of the requests would make them. With too high demands, no data
-// centre seems to have anything to spare. Where servers can't do what is demanded, queues
-// don't tell how much that is.
+// centre seems to have anything to spare. Only prompts are queued, so that queues show the
+// part of the work that is done before the first token. Where servers can't do what is
+// demanded, queues don't tell how much that is.
 func (d *decision) calibrate() {
 	s := d.service
 	if s.scale == 0 {
@@ -57,13 +58,14 @@
 		busy += dataCentre.Busy
 		if dataCentre.Servers > 0 {
 			queued := dataCentre.Queued / dataCentre.Servers
-			load := queued / (d.requestMillis + queued)
+			load := queued / (s.prefills.requestMillis() + queued)
 			shownBusy += dataCentre.Servers * load
 			isSaturated = isSaturated || (load > saturatedLoad && s.scale*dataCentre.Busy > dataCentre.Servers)
 		}
 	}
-	if busy > 0 && !isSaturated {
-		shown := min(1, max(minScale, shownBusy/busy))
+	prefillPart := s.prefills.mean / max(s.work.mean, s.prefills.mean, 1)
+	if busy > 0 && prefillPart >= minPrefillPart && !isSaturated {
+		shown := min(1, max(minScale, shownBusy/(busy*prefillPart)))
 		s.scale += (shown - s.scale) * (1 - math.Exp(-float64(d.elapsed)/float64(scaleTime)))
 	}
 	for i := range d.observation.DataCentres {
--- a/spokelocality/router.go
+++ b/spokelocality/router.go
@@ -25,6 +25,8 @@
 	// 1-1/e, and minScale its least value.
 	scaleTime = 5 * spokeclock.Second
 	minScale  = 0.5
+	// minPrefillPart is the part of the work from which queues of prompts show enough of it.
+	minPrefillPart = 0.2
 	// saturatedLoad is the load from which servers may be unable to do what is demanded.
 	saturatedLoad = 0.93
 	// minBusy is the least demand of the own data centre, in busy servers.
@@ -74,7 +76,9 @@
 	kinds    map[string]*transfer
 	all      transfer
 	prefixes prefixes
-	work     workload
+	// work and prefills are the times for which requests keep servers busy, as a whole and
+	// until their first tokens.
+	work, prefills workload
 	// scale is the part of the expected work of requests that keeps servers busy. Zero
 	// means that there was no decision yet.
 	scale float64
@@ -266,6 +270,7 @@
 		s.target = kind.FirstEventTarget
 	}
 	s.work.record(kind.Work)
+	s.prefills.record(kind.PrefillWork)
 	if kind.PrefixKey != 0 {
 		s.prefixes.record(kind.PrefixKey, kind.SharedPrefixTokens, kind.PromptTokens-kind.SharedPrefixTokens, now)
 	}
--- a/spokelocality/router_test.go
+++ b/spokelocality/router_test.go
@@ -1,6 +1,7 @@
 package spokelocality_test
 
 import (
+	"cmp"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -60,8 +61,11 @@
 }
 
 type shareCase struct {
-	Name  string      `yaml:"name"`
-	Steps []shareStep `yaml:"steps"`
+	Name string `yaml:"name"`
+	// Prefill is the part of a request's work before its first token, in milliseconds. Zero
+	// means all of it.
+	Prefill float64     `yaml:"prefill_millis"`
+	Steps   []shareStep `yaml:"steps"`
 }
 
 // TestShares checks how much leaves under load patterns of several data centres. It
@@ -81,7 +85,7 @@
 		t.Logf("%+v", change)
 		require.NotEqual(t, change.Before, change.After)
 	}
-	router.Permit(testService, spokelocality.Kind{Route: "r", FirstEventTarget: 500, Work: requestMillis})
+	router.Permit(testService, spokelocality.Kind{Route: "r", FirstEventTarget: 500, Work: requestMillis, PrefillWork: cmp.Or(c.Prefill, requestMillis)})
 	known := make(map[string]givenDataCentre)
 	for i, step := range c.Steps {
 		for name, given := range step.DataCentres {
--- a/spokelocality/transfer.go
+++ b/spokelocality/transfer.go
@@ -21,9 +21,9 @@
 	// FirstEventTarget is the time within which its first event is due. Zero means that
 	// there is no such time.
 	FirstEventTarget spokeclock.Millis
-	// Work is the time, in milliseconds, for which it keeps a server busy. Zero means
-	// unknown.
-	Work float64
+	// Work is the time, in milliseconds, for which it keeps a server busy, and PrefillWork
+	// the part of that before its first token. Zero means unknown.
+	Work, PrefillWork float64
 	// PromptTokens and SharedPrefixTokens are the length of its prompt and of the prefix
 	// that the prompt shares with others, and PrefixKey is the key of that prefix. A zero
 	// key means that there is none.
