--- a/spokelocality/router.go
+++ b/spokelocality/router.go
@@ -23,7 +23,7 @@
 	maxRise = 2.0
 	// scaleTime is the time in which the scale of the demand approaches what queues show by
 	// 1-1/e, and minScale its least value.
-	scaleTime = 5 * spokeclock.Second
+	scaleTime = 2 * spokeclock.Second
 	minScale  = 0.5
 	// minPrefillPart is the part of the work from which queues of prompts show enough of it.
 	minPrefillPart = 0.2
