--- a/spokeroute/forecast.go
+++ b/spokeroute/forecast.go
@@ -127,13 +127,18 @@
 	}
 	best, bestRank := -1, uint64(0)
 	for i, c := range usable {
-		if rank := mixBits(xxhash.Sum64String(c.Name) ^ key); best < 0 || rank > bestRank {
+		if rank := rendezvousRank(c, key); best < 0 || rank > bestRank {
 			best, bestRank = i, rank
 		}
 	}
 	return best
 }
 
+// rendezvousRank returns the rank of a candidate for a key in rendezvous hashing.
+func rendezvousRank(c Candidate, key uint64) uint64 {
+	return mixBits(xxhash.Sum64String(c.Name) ^ key)
+}
+
 // mixBits is the finalizer of MurmurHash3 for 64 bits.
 func mixBits(x uint64) uint64 {
 	x ^= x >> 33
--- a/spokeroute/locality.go
+++ b/spokeroute/locality.go
@@ -21,15 +21,19 @@
 	if !request.HasLocalPrefixes {
 		return []string{usable[rendezvousIndex(usable, request.PrefixKey)].Name}
 	}
-	byDataCentre := make(map[string][]Candidate)
+	var dataCentres, preferred []string
+	var ranks []uint64
 	for _, c := range usable {
-		byDataCentre[c.DataCentre] = append(byDataCentre[c.DataCentre], c)
-	}
-	preferred := make([]string, 0, len(byDataCentre))
-	for _, candidates := range byDataCentre {
-		preferred = append(preferred, candidates[rendezvousIndex(candidates, request.PrefixKey)].Name)
+		rank := rendezvousRank(c, request.PrefixKey)
+		at := slices.Index(dataCentres, c.DataCentre)
+		if at < 0 {
+			dataCentres, preferred, ranks = append(dataCentres, c.DataCentre), append(preferred, c.Name), append(ranks, rank)
+			continue
+		}
+		if rank > ranks[at] {
+			preferred[at], ranks[at] = c.Name, rank
+		}
 	}
-	slices.Sort(preferred)
 	return preferred
 }
 
@@ -37,7 +41,8 @@
 // not leave, and the preferred servers among them. A retry and the rest of a stream may be
 // served anywhere, and so may a request for which there is no other server.
 func permittedCandidates(usable []Candidate, preferred []string, request Request) ([]Candidate, []string) {
-	if request.IsResumed || len(request.TriedServers) > 0 {
+	isAvoided := func(c Candidate) bool { return c.IsAvoided }
+	if request.IsResumed || len(request.TriedServers) > 0 || !slices.ContainsFunc(usable, isAvoided) {
 		return usable, preferred
 	}
 	isPermitted := func(c Candidate) bool {
