--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -85,6 +85,9 @@
 		MomentaryDelay: momentaryDelay,
 		PrefillBacklog: s.prefillBacklog + peers.PrefillUnits*tokensPerPrefillUnit,
 	}
+	if !candidate.Local {
+		candidate.RemoteDelay = spokeroute.DefaultRemoteDelay
+	}
 	if wasReduced != (s.trafficShare < 1) && r.ShareChangedFunc != nil {
 		r.ShareChangedFunc(candidate, now-max(s.gapUpdatedAt, s.loadMeasuredAt))
 	}
--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -46,6 +46,7 @@
 		r.core.Counters.replaced.Inc()
 		return spokeerror.Newf("read answer", KindServerFailureRetried, "the backend server reported a failure")
 	}
+	r.answerBytes = len(buffered)
 	length := int64(len(buffered))
 	if !isWhole {
 		length = -1
@@ -116,6 +117,7 @@
 	for forwarded := len(buffered); ; {
 		n, err := response.Body.Read(chunk)
 		forwarded += n
+		r.answerBytes = forwarded
 		if forwarded > maxAnswerBytes {
 			return spokeerror.Newf("read answer", KindInvalidAnswer, "the answer is longer than %d bytes", maxAnswerBytes)
 		}
@@ -145,6 +147,7 @@
 			r.observer.recordEvent()
 			if isFirst {
 				r.answerStartedAt = r.core.Clock.Now()
+				r.recordFirstEvent(attempt)
 			}
 			isFirst = false
 		}
@@ -186,6 +189,7 @@
 		return spokeerror.Newf("read events", KindInvalidAnswer, "event %.*q follows event %.*q", maxExcerpt, event.ID, maxExcerpt, r.lastEventID)
 	}
 	r.eventCount.Add(1)
+	r.answerBytes += len(event.Raw)
 	if !event.isComment() {
 		r.cannotResume.Store(event.ID == "" || !r.request.isResumable())
 	}
