--- a/spokecore/move.go
+++ b/spokecore/move.go
@@ -96,7 +96,8 @@
 	version := r.softwareVersion.Load()
 	for _, c := range r.core.Registry.Candidates(r.request.Service.Name, "") {
 		isUsable := !c.Draining && !c.Suspended && !c.Throttled && c.Name != current && (version == nil || c.SoftwareVersion == *version)
-		if isUsable && c.InFlight < c.Slots && c.Slowness < maxTargetSlowness {
+		// Servers that a rollout keeps the request from are idle, but not free.
+		if isUsable && r.mayServe(c.SoftwareVersion) && c.InFlight < c.Slots && c.Slowness < maxTargetSlowness {
 			return true
 		}
 	}
--- a/spokecore/rollout.go
+++ b/spokecore/rollout.go
@@ -23,7 +23,7 @@
 	case filter.IsEmpty():
 		return candidates
 	case r.softwareVersion.Load() != nil:
-		return keepCandidates(candidates, func(c spokeroute.Candidate) bool { return !filter.Bars(c.SoftwareVersion) })
+		return keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.AllowsInstead(c.SoftwareVersion) })
 	}
 	instead := keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.AllowsInstead(c.SoftwareVersion) })
 	if r.isUnrecorded {
@@ -39,6 +39,19 @@
 	return instead
 }
 
+// mayServe reports whether a rollout lets servers of a version serve the request. It is safe
+// for use by the watchdog.
+func (r *requestRun) mayServe(version string) bool {
+	if r.core.FilterVersionsFunc == nil {
+		return true
+	}
+	filter := r.core.FilterVersionsFunc(r.request.Service.Name, r.versionDraw, "")
+	if r.softwareVersion.Load() != nil {
+		return filter.AllowsInstead(version)
+	}
+	return filter.IsEmpty() || filter.Allows(version)
+}
+
 // hasUsable reports whether one of the candidates can serve the request.
 func (r *requestRun) hasUsable(candidates []spokeroute.Candidate, filter spokerollout.Filter) bool {
 	for _, c := range candidates {
--- a/spokerollout/answers.go
+++ b/spokerollout/answers.go
@@ -179,8 +179,8 @@
 		if !IsCountKey(key) {
 			continue
 		}
-		if service, isNewAnswer := r.told.set(source, key, count, now); isNewAnswer {
-			if running := r.rollouts[service]; running != nil {
+		if id, isNewAnswer := r.told.set(source, key, count, now); isNewAnswer {
+			if running := r.rollouts[id.service]; running != nil && running.order.To == id.to {
 				running.recordNewAnswer(now)
 			}
 		}
--- a/spokerollout/check.go
+++ b/spokerollout/check.go
@@ -60,7 +60,7 @@
 		for id, told := range source.orders {
 			running := r.rollouts[id.service]
 			isOrdered := running != nil && running.order.To == id.to
-			if told.bad > 0 && !isOrdered && r.barred[id.service][id.to] != id {
+			if told.bad > 0 && !isOrdered && !r.cleared[id] && r.barred[id.service][id.to] != id {
 				r.bar(id)
 				r.counts = nil
 			}
--- a/spokerollout/evidence.go
+++ b/spokerollout/evidence.go
@@ -166,10 +166,10 @@
 
 // set stores a counter of a source. It returns the service and whether the counter tells of
 // a new answer of the ordered version.
-func (s *evidenceStore) set(source *peerEvidence, key string, count int64, now spokeclock.Millis) (service string, isNewAnswer bool) {
+func (s *evidenceStore) set(source *peerEvidence, key string, count int64, now spokeclock.Millis) (id orderKey, isNewAnswer bool) {
 	id, name, ok := parseKey(key)
 	if !ok {
-		return "", false
+		return orderKey{}, false
 	}
 	e := source.orders[id]
 	if e == nil {
@@ -196,13 +196,13 @@
 	default:
 		cell, isCell := parseCellKey(name)
 		if !isCell {
-			return id.service, false
+			return id, false
 		}
 		isNewAnswer = cell.isNew && cell.metric == metricAnswers && count > e.cells[cell]
 		s.totals[id][cell] += count - e.cells[cell]
 		e.cells[cell] = count
 	}
-	return id.service, isNewAnswer
+	return id, isNewAnswer
 }
 
 // liveAge is the time without a change of its age after which an order counts as ended at
--- a/spokerollout/judge.go
+++ b/spokerollout/judge.go
@@ -96,7 +96,7 @@
 			if route != "" {
 				compared, name = []string{route}, route
 			}
-			f := compare(strataOf(cells, m, compared))
+			f := compare(m, strataOf(cells, m, compared))
 			if f.excess < m.leastExcess(f)/2 {
 				continue
 			}
@@ -158,7 +158,7 @@
 // compare bounds the probability of the new version's bad answers. Within a stratum the
 // bad answers of both versions are taken to be spread over all answers at random, as in
 // Fisher's exact test. The Chernoff bound over all strata holds for few answers, too.
-func compare(strata []stratum) finding {
+func compare(m measure, strata []stratum) finding {
 	var newAll, newBad, oldAll, oldBad int64
 	for _, s := range strata {
 		newAll, newBad, oldAll, oldBad = newAll+s.newAll, newBad+s.newBad, oldAll+s.oldAll, oldBad+s.oldBad
@@ -169,22 +169,33 @@
 	}
 	unpaired := min(maxPart, float64(oldBad+1)/float64(oldAll+2)+unpairedMargin)
 	var oldExpected float64
+	for _, s := range strata {
+		if s.oldAll < minCompared {
+			oldExpected += float64(s.newAll) * unpaired
+		} else {
+			oldExpected += float64(s.newAll) * float64(s.oldBad) / float64(s.oldAll)
+		}
+	}
+	f.oldPart = oldExpected / float64(newAll)
+	f.excess = float64(newBad)/float64(newAll) - f.oldPart
+	if f.excess > 0 && f.excess >= m.leastExcess(f)/2 {
+		f.probability = chernoffBound(chancesOf(strata, unpaired), float64(newBad))
+	}
+	return f
+}
+
+// chancesOf returns the distributions of the new version's bad answers, by stratum. Their
+// size grows with the answers, so that they are made only for an excess that may count.
+func chancesOf(strata []stratum, unpaired float64) []chance {
 	chances := make([]chance, 0, len(strata))
 	for _, s := range strata {
 		switch {
 		case s.newAll == 0:
 		case s.oldAll < minCompared:
-			oldExpected += float64(s.newAll) * unpaired
 			chances = append(chances, newBinomial(s.newAll, unpaired))
 		default:
-			oldExpected += float64(s.newAll) * float64(s.oldBad) / float64(s.oldAll)
 			chances = append(chances, newHypergeometric(s))
 		}
 	}
-	f.oldPart = oldExpected / float64(newAll)
-	f.excess = float64(newBad)/float64(newAll) - f.oldPart
-	if f.excess > 0 {
-		f.probability = chernoffBound(chances, float64(newBad))
-	}
-	return f
+	return chances
 }
--- a/spokerollout/order.go
+++ b/spokerollout/order.go
@@ -36,6 +36,11 @@
 	To    string `json:"to"`
 }
 
+// IsValid reports whether the status has a known state and names a version.
+func (s Status) IsValid() bool {
+	return s.To != "" && (s.State == StateRunning || s.State.isFinal())
+}
+
 // StatusRow is a status row as it was read.
 type StatusRow struct {
 	Status
--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -57,7 +57,10 @@
 	rollouts  map[string]*rollout
 	statuses  map[string]StatusRow
 	// barred are versions that were found bad, by service, until an order names them.
-	barred     map[string]map[string]orderKey
+	barred map[string]map[string]orderKey
+	// cleared are orders whose version has succeeded later, so that what peers told of them
+	// bars nothing any more.
+	cleared    map[orderKey]bool
 	references map[referenceKey]*reference
 	told       evidenceStore
 	// ended are orders that were withdrawn or replaced here, so that what peers still tell
@@ -263,10 +266,30 @@
 	} else {
 		running.stage = stageAll
 		delete(r.barred[running.key.service], running.order.To)
+		r.clearVersion(running)
 	}
 	r.report(running, reason)
 }
 
+// maxCleared bounds the orders that are kept after the success of their version.
+const maxCleared = 4096
+
+// clearVersion makes earlier verdicts on a version that has succeeded void: peers' counters
+// never fall, and go on to tell them.
+func (r *Rollouts) clearVersion(running *rollout) {
+	if r.cleared == nil || len(r.cleared) >= maxCleared {
+		r.cleared = make(map[orderKey]bool)
+	}
+	r.cleared[running.key] = true
+	for _, source := range r.told.sources {
+		for id := range source.orders {
+			if id.service == running.key.service && id.to == running.key.to {
+				r.cleared[id] = true
+			}
+		}
+	}
+}
+
 func (r *Rollouts) bar(key orderKey) {
 	if r.barred[key.service] == nil {
 		r.barred[key.service] = make(map[string]orderKey)
