--- a/spokelimit/allotment.go
+++ b/spokelimit/allotment.go
@@ -142,6 +142,8 @@
 // allotmentState is the state of one workspace's allotment. Levels and demand
 // are in tokens or requests, as the allotment counts them.
 type allotmentState struct {
+	// workspace is the one of the last request.
+	workspace *spokeconfig.Workspace
 	// startedAt is when the limiter was first used.
 	startedAt spokeclock.Millis
 	updatedAt spokeclock.Millis
@@ -283,9 +285,18 @@
 
 // refresh refills a workspace's allotment up to now.
 func (l *AllotmentLimiter) refresh(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) {
-	seconds := float64(now-a.updatedAt) / float64(spokeclock.Second)
-	a.updatedAt = now
+	a.workspace = w
 	l.updateSums(w, a, now)
+	l.refill(a, now)
+}
+
+// refill refills an allotment up to now, with the sums as they are.
+func (l *AllotmentLimiter) refill(a *allotmentState, now spokeclock.Millis) {
+	w, seconds := a.workspace, float64(now-a.updatedAt)/float64(spokeclock.Second)
+	if w == nil || seconds == 0 {
+		return
+	}
+	a.updatedAt = now
 	depth := max(1, w.Allotment.Burst, w.Allotment.Rate*minDepthSeconds)
 	a.globalLevel = min(depth, a.globalLevel+w.Allotment.Rate*seconds*(1-l.unheardFraction))
 	a.localLevel = min(depth*a.share, a.localLevel+w.Allotment.Rate*a.share*seconds)
@@ -420,6 +431,23 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.initMaps()
+	l.setCounts(peer, generation, counts)
+}
+
+// SetSumCounts sets the changed sums of a data centre, which counts as one peer. A new
+// generation means that another instance has summed up. Its sums hold all that was spent since
+// it started, most of which this instance has counted before.
+func (l *AllotmentLimiter) SetSumCounts(name string, generation int64, counts map[string]int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.initMaps()
+	if p, known := l.peers[name]; known && p.generation != generation {
+		delete(l.peers, name)
+	}
+	l.setCounts(name, generation, counts)
+}
+
+func (l *AllotmentLimiter) setCounts(peer string, generation int64, counts map[string]int64) {
 	now := l.Clock.Now()
 	p, known := l.peers[peer]
 	if !known || p.generation != generation {
@@ -440,6 +468,9 @@
 	l.recordGap(now)
 	l.recordInterval(p.interval)
 	for key, count := range counts {
+		if !strings.HasPrefix(key, spentPrefix) && !strings.HasPrefix(key, requestedPrefix) {
+			continue
+		}
 		before, counted := p.counts[key]
 		p.counts[key] = count
 		// What a peer spent before its first heartbeat here is in no window that
@@ -469,6 +500,8 @@
 func (l *AllotmentLimiter) addPeerAmount(p *peerState, key string, amount float64, now spokeclock.Millis) {
 	if workspace, isSpent := strings.CutPrefix(key, spentPrefix); isSpent {
 		if a, known := l.allotments[workspace]; known {
+			// What the rate has filled up meanwhile is capped before it is spent.
+			l.refill(a, now)
 			a.globalLevel -= amount - p.assumedSpent[workspace]
 		}
 		delete(p.assumedSpent, workspace)
--- a/spokelimit/share.go
+++ b/spokelimit/share.go
@@ -79,6 +79,10 @@
 		return
 	}
 	a.share = l.fraction(a, a.delayed.perSecond(), members)
+	if !l.hearsOthers(now) {
+		// The others' demand is not known, and each of them may take as much.
+		a.share = min(a.share, 1/members)
+	}
 }
 
 // fraction returns the fraction of an allotment for an instance with a demand. The equal
