--- a/spokememory/body.go
+++ b/spokememory/body.go
@@ -88,7 +88,9 @@
 	if r.announced == 0 {
 		return Body{}, nil
 	}
-	reader := bodyReader{reservation: r, source: body, limit: limit, controller: controller}
+	reader := bodyReader{reservation: r, source: body, limit: limit}
+	// A body that never sends a byte must be evicted, too.
+	r.beginReading(func() { _ = controller.SetReadDeadline(time.Now()) })
 	for {
 		isComplete, err := reader.readSegment()
 		if err != nil {
@@ -135,9 +137,7 @@
 	reservation *Reservation
 	source      io.Reader
 	limit       int64
-	controller  *http.ResponseController
 	body        Body
-	isReading   bool
 }
 
 // nextSize returns the size of the next segment.
@@ -178,7 +178,7 @@
 			b.add(segment)
 			return false, b.readError(err)
 		}
-		b.recordArrival(n)
+		b.reservation.recordArrival(n)
 	}
 	b.add(segment)
 	return b.body.length == b.reservation.announced, nil
@@ -193,16 +193,6 @@
 	b.body.length += int64(len(segment))
 }
 
-// recordArrival records bytes of a body that has not arrived at once.
-func (b *bodyReader) recordArrival(n int) {
-	if !b.isReading {
-		b.isReading = true
-		controller := b.controller
-		b.reservation.beginReading(func() { _ = controller.SetReadDeadline(time.Now()) })
-	}
-	b.reservation.recordArrival(n)
-}
-
 // readError returns the error of a failed read, which an eviction may have caused.
 func (b *bodyReader) readError(cause error) error {
 	if !b.reservation.endReading() {
--- a/spokememory/budget.go
+++ b/spokememory/budget.go
@@ -112,9 +112,11 @@
 	workspace string
 	// announced is the length of the body; negative if it is not known.
 	announced int64
-	// smallLimit is the size up to which the request may use the reserve.
+	// smallLimit is the size of the body up to which the request may use the reserve.
 	smallLimit int64
-	startedAt  spokeclock.Millis
+	// copies is the number of copies of the body that are charged besides it.
+	copies    int64
+	startedAt spokeclock.Millis
 
 	// The fields below are guarded by the budget's mutex.
 	held        int64
@@ -152,6 +154,10 @@
 	return r
 }
 
+// SetCopies tells how many copies of the body will be charged besides it. It is called before
+// the first charge.
+func (r *Reservation) SetCopies(copies int64) { r.copies = copies }
+
 // isUnbounded reports whether nothing is charged.
 func (r *Reservation) isUnbounded() bool {
 	return r == nil || r.budget == nil || r.budget.Limit <= 0
@@ -196,17 +202,23 @@
 	}
 	now := b.Clock.Now()
 	use := b.useOf(r.workspace, now)
+	// The share comes first, as others' bodies must not be evicted for a request that is refused.
+	isOwn := func(other *Reservation) bool { return other.workspace == r.workspace }
+	for use.held+n > int64(workspaceShare*float64(b.Limit)) && b.othersSend(r.workspace, now) {
+		victim := b.longestStalled(r, now, isOwn)
+		if victim == nil {
+			return append(decisions, b.decide(r, KindWorkspaceShare, n, now)), KindWorkspaceShare
+		}
+		decisions = append(decisions, b.evict(victim, now))
+	}
 	ceiling := b.ceilingFor(r, n)
 	for b.held+n > ceiling {
-		victim := b.longestStalled(r, now)
+		victim := b.longestStalled(r, now, func(*Reservation) bool { return true })
 		if victim == nil {
 			return append(decisions, b.decide(r, KindFull, n, now)), KindFull
 		}
 		decisions = append(decisions, b.evict(victim, now))
 	}
-	if use.held+n > int64(workspaceShare*float64(b.Limit)) && b.othersSend(r.workspace, now) {
-		return append(decisions, b.decide(r, KindWorkspaceShare, n, now)), KindWorkspaceShare
-	}
 	b.held += n
 	use.held += n
 	r.held += n
@@ -215,7 +227,7 @@
 
 // ceilingFor returns how much may be held with n bytes more of a request.
 func (b *Budget) ceilingFor(r *Reservation, n int64) int64 {
-	if max(r.announced, r.held+n) <= r.smallLimit {
+	if r.announced <= r.smallLimit && r.held+n <= r.smallLimit*(1+r.copies) {
 		return b.Limit
 	}
 	return int64(largeShare * float64(b.Limit))
@@ -251,11 +263,12 @@
 }
 
 // longestStalled returns the reading reservation that has waited longest for a byte, at
-// least for stallLimit, or nil.
-func (b *Budget) longestStalled(except *Reservation, now spokeclock.Millis) *Reservation {
+// least for stallLimit, of those that may be evicted, or nil.
+func (b *Budget) longestStalled(except *Reservation, now spokeclock.Millis, mayEvictFunc func(*Reservation) bool) *Reservation {
 	var longest *Reservation
 	for r := range b.reading {
-		if r != except && r.held > 0 && now-r.lastArrival >= stallLimit && (longest == nil || r.lastArrival < longest.lastArrival) {
+		isStalled := r != except && r.held > 0 && now-r.lastArrival >= stallLimit
+		if isStalled && mayEvictFunc(r) && (longest == nil || r.lastArrival < longest.lastArrival) {
 			longest = r
 		}
 	}
--- a/spokememory/connection.go
+++ b/spokememory/connection.go
@@ -99,6 +99,8 @@
 	isInRequest atomic.Bool
 	// writeBegunAt is the time at which the present write began; 0 if there is none.
 	writeBegunAt atomic.Int64
+	// headersBegunAt is the time of the first byte of the present headers.
+	headersBegunAt atomic.Int64
 
 	// phase and since, the time of its begin, are guarded by the limit's mutex.
 	phase phase
@@ -198,6 +200,10 @@
 // closeReason reports whether the connection may be closed for another one, and why.
 func (c *connection) closeReason(now spokeclock.Millis) (CloseReason, bool) {
 	age, hasHeaders := now-c.since, c.headerBytes.Load() > 0
+	if hasHeaders {
+		// The headers of a further request begin after the idle time.
+		age = now - spokeclock.Millis(c.headersBegunAt.Load())
+	}
 	switch {
 	case c.phase == phaseRequest:
 		begunAt := spokeclock.Millis(c.writeBegunAt.Load())
@@ -273,6 +279,9 @@
 
 // chargeHeader charges n further bytes of the headers.
 func (c *connection) chargeHeader(n int64) error {
+	if c.headerBytes.Load() == 0 {
+		c.headersBegunAt.Store(int64(c.limit.Clock.Now()))
+	}
 	total := c.headerBytes.Add(n)
 	over := min(n, total-freeHeaderBytes)
 	if over <= 0 {
--- a/spokeserve/chat.go
+++ b/spokeserve/chat.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"mulberryspoke.example/mulberryspoke/gen/chat"
 	"mulberryspoke.example/mulberryspoke/gen/types"
@@ -93,13 +94,22 @@
 	return request, validateChatRequest(&request)
 }
 
+// bodyReadTimeout bounds the reading of a body, also without a memory budget. It is the time
+// limit of requests to services that declare none.
+const bodyReadTimeout = 120 * spokeclock.Second
+
 // readBody reads the whole body within the budget of the process, and charges it for
 // copies of the body that are made later.
 func (s *Server) readBody(ctx context.Context, authorization *string, body io.Reader, copies int64) ([]byte, *types.Refusal) {
 	details := requestDetailsFrom(ctx)
 	details.reservation = s.Budget.Open(s.workspaceName(authorization), details.contentLength)
-	content, err := details.reservation.ReadBody(body, s.maxBodyBytes(), http.NewResponseController(details.writer))
+	details.reservation.SetCopies(copies)
+	controller := http.NewResponseController(details.writer)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout.Duration()))
+	content, err := details.reservation.ReadBody(body, s.maxBodyBytes(), controller)
 	if err == nil {
+		// The connection is read on to notice that the caller leaves.
+		_ = controller.SetReadDeadline(time.Time{})
 		err = details.reservation.Grow(copies * content.Len())
 	}
 	if err == nil {
