--- a/cmd/mulberryspoke/platform.go
+++ b/cmd/mulberryspoke/platform.go
@@ -20,7 +20,7 @@
 
 // localityFlags weigh what leaving the data centre costs a request to a model service.
 type localityFlags struct {
-	Routing        string  `long:"locality" env:"MULBERRYSPOKE_LOCALITY" description:"Whether a request leaves the data centre: decided (by load and cost) or constant (another data centre costs 3 ms)" choice:"decided" choice:"constant" default:"decided"`
+	Routing        string  `long:"locality" env:"MULBERRYSPOKE_LOCALITY" description:"Whether a request leaves the data centre: decided (by load and cost) or constant (another data centre costs 3 ms)" choice:"decided" choice:"constant" default:"constant"`
 	RoundTrip      int64   `long:"remote-round-trip-millis" env:"MULBERRYSPOKE_REMOTE_ROUND_TRIP" description:"Time in milliseconds that a request to another data centre takes longer, there and back" default:"2"`
 	MegabytePrice  int64   `long:"remote-megabyte-price-millis" env:"MULBERRYSPOKE_REMOTE_MEGABYTE_PRICE" description:"Delay in milliseconds that is better than the transfer of a megabyte to another data centre" default:"50"`
 	MaxWait        int64   `long:"remote-max-wait-millis" env:"MULBERRYSPOKE_REMOTE_MAX_WAIT" description:"Expected wait in milliseconds up to which a data centre takes requests of others; the shortest target of the first event if 0" default:"0"`
@@ -67,6 +67,7 @@
 	LogLinesPerSecond int    `long:"log-lines-per-second" env:"MULBERRYSPOKE_LOG_LINES" description:"Largest number of log lines a second" default:"400"`
 	BudgetMegabytes   int    `long:"caller-memory-mb" env:"MULBERRYSPOKE_CALLER_MEMORY_MB" description:"Memory in MB that callers' requests may hold; 0: a quarter of the settings' memory" default:"0"`
 	Connections       int    `long:"caller-connections" env:"MULBERRYSPOKE_CALLER_CONNECTIONS" description:"Largest number of callers' connections; 0: derived from the settings' memory and descriptors" default:"0"`
+	ReturnOrder       string `long:"return-order" env:"MULBERRYSPOKE_RETURN_ORDER" description:"When refused callers come back: estimate (when their level is above zero) or schedule (one after the other, urgent ones first)" choice:"estimate" choice:"schedule" default:"estimate"`
 	Locality          localityFlags
 	TraceExporter     string `long:"trace" env:"MULBERRYSPOKE_TRACE" description:"Exporter of traces: none or json (to standard error)" default:"none"`
 }
@@ -105,6 +106,6 @@
 	go onSignals(cancel, func() { os.Exit(exitError) })
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	process := &platform.Process{Settings: settings, SettingsPath: c.SettingsPath, CallerLimits: limits, Locality: locality, ReloadSignals: reloads, Logs: logs.WithField("instance", settings.InstanceName)}
+	process := &platform.Process{Settings: settings, SettingsPath: c.SettingsPath, CallerLimits: limits, Locality: locality, SchedulesReturns: c.ReturnOrder == "schedule", ReloadSignals: reloads, Logs: logs.WithField("instance", settings.InstanceName)}
 	return process.Run(ctx)
 }
