--- a/spokememory/body_test.go
+++ b/spokememory/body_test.go
@@ -9,10 +9,12 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"mulberryspoke.example/mulberryspoke/spokecase"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
 
@@ -88,3 +90,40 @@
 		return reader
 	}
 }
+
+// TestSilentBody guards against a body without a first byte that keeps its place for good.
+func TestSilentBody(t *testing.T) {
+	manual := &spokeclock.Manual{}
+	manual.Advance(1)
+	budget := &Budget{Limit: 1 << 20, Clock: manual.Clock()}
+	source, writer := io.Pipe()
+	r := budget.Open("w", 1000)
+	result := make(chan error, 1)
+	go func() {
+		_, err := r.ReadBody(source, 1<<20, http.NewResponseController(httptest.NewRecorder()))
+		result <- err
+	}()
+	isReading := func() bool {
+		budget.mutex.Lock()
+		defer budget.mutex.Unlock()
+		return len(budget.reading) == 1 && budget.held > 0
+	}
+	require.Eventually(t, isReading, 10*time.Second, time.Millisecond)
+	manual.Advance(slowGrace)
+	budget.EvictSlow()
+	require.Zero(t, budget.Held())
+	// The recorder has no read deadline, which ends the read of a connection.
+	_ = writer.CloseWithError(errBroken)
+	require.Equal(t, KindEvicted, spokeerror.KindOf[Kind](<-result))
+}
+
+// TestCopies guards against a small body that can't use the reserve as its copies are
+// charged, too.
+func TestCopies(t *testing.T) {
+	budget := &Budget{Limit: 1 << 20}
+	require.NoError(t, budget.Open("", 1<<20).Grow(700<<10))
+	small := budget.Open("w", 50<<10)
+	small.SetCopies(3)
+	require.NoError(t, small.Grow(50<<10))
+	require.NoError(t, small.Grow(3*50<<10))
+}
