limit: the first request of a workspace counts what peers have spent

Cause: counts of peers for a workspace that an instance has not seen were dropped, so that its first request found a full bucket.

An unused parameter of retryAfter is gone.

--- a/spokelimit/allotment.go
+++ b/spokelimit/allotment.go
@@ -100,8 +100,10 @@
 	// allotment.
 	Tolerance Tolerance
 
-	mutex       sync.Mutex
-	allotments  map[string]*allotmentState
+	mutex      sync.Mutex
+	allotments map[string]*allotmentState
+	// histories are, by workspace, of those that are in no allotments.
+	histories   map[string]*spendingHistory
 	peers       map[string]*peerState
 	localCounts map[string]int64
 	startedAt   spokeclock.Millis
@@ -234,7 +236,7 @@
 	decision.ratePerSecond, decision.globalLevel, decision.localLevel = w.Allotment.Rate, a.globalLevel, a.localLevel
 	if !decision.isAllowed {
 		decision.exceededLimit = "allotment"
-		decision.retryAfter = l.retryAfter(w, a, now)
+		decision.retryAfter = l.retryAfter(w, a)
 		decision.countsAge = now - l.lastHeardAt
 		decision.roomWait = l.roomWait(w, a, now)
 		decision.roomPerSecond = decision.routePart * a.routes[route.Name].costPerSecond(now)
@@ -266,6 +268,7 @@
 func (l *AllotmentLimiter) initMaps() {
 	if l.localCounts == nil {
 		l.allotments = make(map[string]*allotmentState)
+		l.histories = make(map[string]*spendingHistory)
 		l.peers = make(map[string]*peerState)
 		l.localCounts = make(map[string]int64)
 		l.startedAt = l.Clock.Now()
@@ -286,6 +289,10 @@
 // refresh refills a workspace's allotment up to now.
 func (l *AllotmentLimiter) refresh(w *spokeconfig.Workspace, a *allotmentState, now spokeclock.Millis) {
 	a.workspace = w
+	if history, isFirst := l.histories[w.Name]; isFirst {
+		delete(l.histories, w.Name)
+		l.replay(a, history)
+	}
 	l.updateSums(w, a, now)
 	l.refill(a, now)
 }
@@ -410,7 +417,7 @@
 // retryAfter estimates the time until a request may be allowed: until the local
 // level reaches one or globalAllows would hold, whichever is earlier, and
 // maxRetryAfter at most.
-func (l *AllotmentLimiter) retryAfter(w *spokeconfig.Workspace, a *allotmentState, _ spokeclock.Millis) spokeclock.Millis {
+func (l *AllotmentLimiter) retryAfter(w *spokeconfig.Workspace, a *allotmentState) spokeclock.Millis {
 	localSeconds := max(0, 1-a.localLevel) / max(1, w.Allotment.Rate*a.share)
 	globalSeconds := max(0, a.sums.unseen-a.globalLevel-l.lateAmount(w)) / w.Allotment.Rate
 	return min(1+spokeclock.Millis(min(localSeconds, globalSeconds)*float64(spokeclock.Second)), maxRetryAfter)
@@ -503,6 +510,8 @@
 			// What the rate has filled up meanwhile is capped before it is spent.
 			l.refill(a, now)
 			a.globalLevel -= amount - p.assumedSpent[workspace]
+		} else {
+			l.recordHistory(workspace, amount, now)
 		}
 		delete(p.assumedSpent, workspace)
 	}
--- a/spokelimit/sole_test.go
+++ b/spokelimit/sole_test.go
@@ -23,11 +23,11 @@
 	workspace *spokeconfig.Workspace
 }
 
-func newSoleLimiter(members, unheard int) *soleLimiter {
+func newSoleLimiter(members int) *soleLimiter {
 	s := &soleLimiter{workspace: &spokeconfig.Workspace{Name: soleWorkspace, Allotment: &spokeconfig.Allotment{Rate: soleRate, Burst: soleRate, CountsTokens: true}}}
 	s.manual.Advance(spokeclock.Second)
 	s.AllotmentLimiter = &spokelimit.AllotmentLimiter{
-		Clock: s.manual.Clock(), MemberCountsFunc: func() (count, unheardCount int) { return members, unheard },
+		Clock: s.manual.Clock(), MemberCountsFunc: func() (count, unheardCount int) { return members, 0 },
 		Tolerance: spokelimit.Tolerance{Window: 8 * spokeclock.Second, Fraction: 0.1},
 	}
 	return s
@@ -52,7 +52,7 @@
 // nobody, and takes most of its allotment, as each of the others may do.
 func TestIsolatedLimiter(t *testing.T) {
 	const members = 10
-	s := newSoleLimiter(members, 0)
+	s := newSoleLimiter(members)
 	for beat := range 20 {
 		for peer := range members - 1 {
 			s.SetPeerCounts(string(rune('a'+peer)), 1, map[string]int64{"spent/other": int64(beat)})
@@ -68,7 +68,7 @@
 // TestNewOriginOfSums guards against the sums of a data centre that another instance begins to
 // send, which were taken as one debt.
 func TestNewOriginOfSums(t *testing.T) {
-	s := newSoleLimiter(2, 0)
+	s := newSoleLimiter(2)
 	spent := int64(0)
 	for range 40 {
 		spent += 50
@@ -83,7 +83,7 @@
 // TestIdleLimiter guards against an instance that was idle for a workspace and takes its
 // bucket for full, although peers have spent it.
 func TestIdleLimiter(t *testing.T) {
-	s := newSoleLimiter(2, 0)
+	s := newSoleLimiter(2)
 	spent := int64(0)
 	hear := func(perBeat int64) {
 		spent += perBeat
@@ -101,3 +101,19 @@
 	hear(soleRate)
 	require.LessOrEqual(t, s.spend(10*soleRate, 100), soleRate/2)
 }
+
+// TestUnseenWorkspace guards against an instance that gets its first request of a workspace
+// while peers spend all of the workspace's allotment, and takes the bucket for full.
+func TestUnseenWorkspace(t *testing.T) {
+	// The peer spends the rate and, in 6 s, five times the burst beyond it.
+	const beat, beats, spentPerBeat = 100 * spokeclock.Millis(1), 60, 183
+	s := newSoleLimiter(2)
+	spent := int64(0)
+	for range beats {
+		spent += spentPerBeat
+		s.SetPeerCounts("b", 1, map[string]int64{"spent/w": spent, "asked/w": spent})
+		s.manual.Advance(beat)
+	}
+	// Whoever has a debt spends at most what the rate yields meanwhile.
+	require.LessOrEqual(t, s.spend(10*soleRate, beat), soleRate*float64(beat)/float64(spokeclock.Second))
+}
