--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -71,9 +71,11 @@
 	// instances are not peers, by data centre.
 	dataCentreInFlight map[string]dataCentreInFlight
 	// medianGaps are the median times between tokens, by service.
-	medianGaps map[string]cachedMedian
+	medianGaps map[string]cachedFigure
 	// usualGaps are the medians of the models' usual times between tokens, by service.
-	usualGaps map[string]cachedMedian
+	usualGaps map[string]cachedFigure
+	// meanSpeeds are the mean speeds of the servers, by service.
+	meanSpeeds map[string]cachedFigure
 	// fits are the figures of engines, by service.
 	fits map[string]*spokeforecast.Fit
 	// lastResponses is when a server of each data centre last sent part of a
@@ -103,6 +105,8 @@
 // that are terminating.
 func (r *Registry) applyList(instances []spokecloud.Instance) []spokecloud.Instance {
 	r.initialise()
+	// The list may replace servers by faster or slower ones.
+	clear(r.meanSpeeds)
 	var terminating []spokecloud.Instance
 	listed := make(map[string]struct{}, len(instances))
 	for _, instance := range instances {
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -143,17 +143,27 @@
 	return s.removalSource != "" || (r.ListIsAuthoritative && s.unlistedSince > 0)
 }
 
-// medianMaxAge is how long a median is cached. Sorting a large service's
-// servers for each routing decision would take longer than the decision.
-const medianMaxAge = 200 * spokeclock.Millis(1)
-
-// cachedMedian is the median time between tokens, in milliseconds, and when it
-// was computed.
-type cachedMedian struct {
-	gap        float64
+// figureMaxAge is how long a figure of a service's servers is cached. Sorting or adding up
+// those of a large service for each routing decision would take longer than the decision.
+const figureMaxAge = 200 * spokeclock.Millis(1)
+
+// cachedFigure is a figure of a service's servers and when it was computed.
+type cachedFigure struct {
+	value      float64
 	computedAt spokeclock.Millis
 }
 
+// figure returns a figure of a service from the cache, or computes it if it is too old there.
+func (r *Registry) figure(cache map[string]cachedFigure, service string, computeFunc func() float64) float64 {
+	now := r.Clock.Now()
+	if cached, found := cache[service]; found && now-cached.computedAt < figureMaxAge {
+		return cached.value
+	}
+	value := computeFunc()
+	cache[service] = cachedFigure{value: value, computedAt: now}
+	return value
+}
+
 // medianGaps are the medians of a service's servers, in milliseconds, or zero: of the recent
 // times between tokens and of the usual ones.
 type medianGaps struct {
@@ -176,18 +186,29 @@
 func (r *Registry) EngineTime(service string, prefillTokens, answerTokens, slots int) spokeclock.Millis {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now, median := r.Clock.Now(), r.medianUsualGap(service)
-	speed, servers := 0.0, 0
-	for _, s := range r.servers {
-		if s.instance.Service == service && !r.isDraining(s) {
-			speed += 1 / s.model.DelayFactor(median, now)
-			servers++
-		}
-	}
-	if servers == 0 {
-		return spokeforecast.Time(prefillTokens, answerTokens, slots, 1)
+	return spokeforecast.Time(prefillTokens, answerTokens, slots, r.meanSpeed(service))
+}
+
+// meanSpeed returns the mean speed of a service's servers that take new requests, as a multiple
+// of the median one's, or 1 without any. It may be as old as figureMaxAge.
+func (r *Registry) meanSpeed(service string) float64 {
+	if r.meanSpeeds == nil {
+		r.meanSpeeds = make(map[string]cachedFigure)
 	}
-	return spokeforecast.Time(prefillTokens, answerTokens, slots, speed/float64(servers))
+	return r.figure(r.meanSpeeds, service, func() float64 {
+		now, median := r.Clock.Now(), r.medianUsualGap(service)
+		speed, servers := 0.0, 0
+		for _, s := range r.servers {
+			if s.instance.Service == service && !r.isDraining(s) {
+				speed += 1 / s.model.DelayFactor(median, now)
+				servers++
+			}
+		}
+		if servers == 0 {
+			return 1
+		}
+		return speed / float64(servers)
+	})
 }
 
 func (r *Registry) gapsOf(service string) medianGaps {
@@ -195,43 +216,39 @@
 }
 
 // medianGap returns the median time between tokens of a service's servers, in
-// milliseconds. It may be as old as medianMaxAge.
+// milliseconds. It may be as old as figureMaxAge.
 func (r *Registry) medianGap(service string) float64 {
 	if r.medianGaps == nil {
-		r.medianGaps = make(map[string]cachedMedian)
+		r.medianGaps = make(map[string]cachedFigure)
 	}
 	return r.median(r.medianGaps, service, func(s *server) (float64, bool) { return s.averageGap, s.gapUpdatedAt > 0 })
 }
 
 // medianUsualGap returns the median of the usual times between tokens of a service's
-// servers, in milliseconds. It may be as old as medianMaxAge.
+// servers, in milliseconds. It may be as old as figureMaxAge.
 func (r *Registry) medianUsualGap(service string) float64 {
 	if r.usualGaps == nil {
-		r.usualGaps = make(map[string]cachedMedian)
+		r.usualGaps = make(map[string]cachedFigure)
 	}
 	return r.median(r.usualGaps, service, func(s *server) (float64, bool) { return s.model.Gap(), s.model.HasGap() })
 }
 
 // median returns the median of a service's servers for which gapFunc returns true, from the
 // cache unless it is too old there.
-func (r *Registry) median(cache map[string]cachedMedian, service string, gapFunc func(*server) (float64, bool)) float64 {
-	now := r.Clock.Now()
-	if cached, found := cache[service]; found && now-cached.computedAt < medianMaxAge {
-		return cached.gap
-	}
-	var gaps []float64
-	for _, s := range r.servers {
-		if gap, known := gapFunc(s); known && s.instance.Service == service {
-			gaps = append(gaps, gap)
+func (r *Registry) median(cache map[string]cachedFigure, service string, gapFunc func(*server) (float64, bool)) float64 {
+	return r.figure(cache, service, func() float64 {
+		var gaps []float64
+		for _, s := range r.servers {
+			if gap, known := gapFunc(s); known && s.instance.Service == service {
+				gaps = append(gaps, gap)
+			}
+		}
+		if len(gaps) == 0 {
+			return 0
 		}
-	}
-	median := 0.0
-	if len(gaps) > 0 {
 		slices.Sort(gaps)
-		median = gaps[(len(gaps)-1)/2]
-	}
-	cache[service] = cachedMedian{gap: median, computedAt: now}
-	return median
+		return gaps[(len(gaps)-1)/2]
+	})
 }
 
 // batchOf returns the number of requests that a server runs at once, as far as this process
