route: long prompts are compared at more servers

A choice compares three random servers, which have no fast one in 30 of 100 choices where a third of the servers is fast.

Ruled out: the forecast (14 in 100 of the largest tenth were expected late when they were sent, none of the others); servers that are busy (37 of 100 worked).

Change: a prompt that takes a fifth of its route's target to read is compared at four times as many servers. Routes without a target are served as before. The sampling has a file of its own.

--- a/spokebackend/speeds_test.go
+++ b/spokebackend/speeds_test.go
@@ -42,8 +42,10 @@
 	// Work is the least and the greatest allowed ratio of the work that servers of a speed
 	// get each to what is in proportion to their speed.
 	Work [2]float64 `yaml:"work"`
-	// Late is the greatest allowed share of first events after their target.
-	Late float64 `yaml:"late"`
+	// Late is the greatest allowed share of first events after their target, LateLong of those
+	// of long prompts.
+	Late     float64 `yaml:"late"`
+	LateLong float64 `yaml:"late_long"`
 }
 
 type speedsKind struct {
@@ -52,6 +54,7 @@
 	Own       int               `yaml:"own"`
 	Events    int               `yaml:"events"`
 	Target    spokeclock.Millis `yaml:"target_millis"`
+	IsLong    bool              `yaml:"is_long"`
 }
 
 // TestSpeeds guards against choices that treat servers of different speeds alike, so that
@@ -109,6 +112,8 @@
 	// target.
 	delays []spokeclock.Millis
 	late   int
+	// long is the number of long prompts among them, lateLong of those that were late.
+	long, lateLong int
 }
 
 // chunkTokens is the part of a prompt that an engine reads in a step.
@@ -203,7 +208,7 @@
 	instance := r.instances[r.random.IntN(len(r.instances))]
 	key := uint64(kind.Events*speedsWorkspaces+r.random.IntN(speedsWorkspaces)) + 1
 	decision := instance.policy.Choose(instance.registry.Candidates("s", instance.prefixes.Server(key)), spokeroute.Request{
-		PromptTokens: kind.Shared + kind.Own, SharedPrefixTokens: kind.Shared, EntryInstances: r.Instances, PrefixKey: key,
+		PromptTokens: kind.Shared + kind.Own, SharedPrefixTokens: kind.Shared, EntryInstances: r.Instances, PrefixKey: key, Target: kind.Target,
 	})
 	attempt, begun := instance.registry.BeginAttempt(decision.Server(), false, func(spokebackend.Removal) {})
 	require.True(t, begun)
@@ -285,9 +290,16 @@
 		return
 	}
 	r.delays = append(r.delays, now-a.sentAt)
-	if now-a.sentAt > a.kind.Target {
+	isLate := now-a.sentAt > a.kind.Target
+	if isLate {
 		r.late++
 	}
+	if a.kind.IsLong {
+		r.long++
+	}
+	if a.kind.IsLong && isLate {
+		r.lateLong++
+	}
 }
 
 // check compares the work of the servers of each speed with its proportion.
@@ -302,6 +314,9 @@
 	slices.Sort(r.delays)
 	share := float64(r.late) / float64(len(r.delays))
 	t.Logf("%d answers, first event after %d ms (middle), %d ms (95 in 100), late %.4f", len(r.delays), r.delays[len(r.delays)/2], r.delays[len(r.delays)*95/100], share)
+	lateLong := float64(r.lateLong) / float64(max(1, r.long))
+	t.Logf("%d long prompts, late %.4f", r.long, lateLong)
+	require.LessOrEqual(t, lateLong, r.LateLong, "long prompts")
 	for speed, sum := range work {
 		ratio := sum / servers[speed] / (total * speed / speeds)
 		t.Logf("speed %.1f: %.2f of its proportion", speed, ratio)
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -257,7 +257,7 @@
 	entryInstances := c.memberCount()
 	routeRequest := spokeroute.Request{
 		LongAnswer: applyLongShare, TriedServers: r.triedServers, PromptTokens: r.request.PromptTokens, SharedPrefixTokens: r.sharedPrefixTokens, PrefixKey: r.prefixKey, EntryInstances: entryInstances,
-		IsResumable: r.request.isResumable(),
+		IsResumable: r.request.isResumable(), Target: r.request.Route.LatencyTarget,
 	}
 	if version := r.softwareVersion.Load(); version != nil {
 		routeRequest.SoftwareVersion, routeRequest.IsResumed = *version, true
--- a/spokeroute/candidate.go
+++ b/spokeroute/candidate.go
@@ -78,6 +78,8 @@
 	// EntryInstances is the number of entry instances that choose among the same
 	// servers.
 	EntryInstances int
+	// Target is the time in which the first token is due. Zero means that none is known.
+	Target spokeclock.Millis
 	// PrefixKey is the key of the shared prefix. Zero means none.
 	PrefixKey uint64
 	// HasLocalPrefixes is true if a shared prefix is cached at one server of each data
--- a/spokeroute/forecast.go
+++ b/spokeroute/forecast.go
@@ -26,9 +26,6 @@
 	// unreachableDelay, in milliseconds, is large enough that a data centre which
 	// cannot be reached gets no new requests while there is any other.
 	unreachableDelay = 5000.0
-	// sampleSize is the number of random servers that are compared when there are
-	// more entry instances than MaxFullScanInstances.
-	sampleSize = 3
 	// jitterDelay is the bound of a random addition, in milliseconds. It keeps
 	// instances with the same information from all choosing the same one of
 	// several servers that look alike.
@@ -47,7 +44,7 @@
 	preferred := preferredServers(usable, request)
 	permitted, preferred := permittedCandidates(usable, preferred, request)
 	isReduced := len(permitted) < len(usable)
-	usable, preferred = p.sample(permitted, preferred, request.EntryInstances, sampleSizeOf(len(permitted), isReduced))
+	usable, preferred = p.sample(permitted, preferred, request.EntryInstances, sampleSizeOf(permitted, request, isReduced))
 	best, bestPrefill, bestCost := -1, 0, math.Inf(1)
 	for i, c := range usable {
 		prefill := request.PromptTokens
@@ -66,33 +63,6 @@
 	return Decision{server: usable[best].Name, reason: reason, cost: bestCost, prefillTokens: bestPrefill}
 }
 
-// sample reduces the candidates to a few random ones when many instances choose
-// by the same outdated information, as they would otherwise all choose the same
-// server. The preferred server stays a candidate, and so does one to which this
-// instance has just sent the same prefix. It returns the candidates and the
-// index of the preferred one among them, or -1.
-func (p *Policy) sample(usable []Candidate, preferred []string, instances, size int) ([]Candidate, []string) {
-	if instances <= MaxFullScanInstances || len(usable) <= size+1 {
-		return usable, preferred
-	}
-	sampled := make([]Candidate, 0, size+len(preferred)+1)
-	isPreferred := func(c Candidate) bool { return slices.Contains(preferred, c.Name) }
-	for _, c := range usable {
-		if c.PrefixCached || isPreferred(c) {
-			sampled = append(sampled, c)
-		}
-	}
-	for range size {
-		if c := usable[p.Random.IntN(len(usable))]; !isPreferred(c) {
-			sampled = append(sampled, c)
-		}
-	}
-	if len(sampled) == 0 {
-		return usable[:1], nil
-	}
-	return sampled, preferred
-}
-
 // rendezvousIndex returns the index of the candidate that rendezvous hashing
 // prefers for a key, or -1 if the key is zero.
 func rendezvousIndex(usable []Candidate, key uint64) int {
--- a/spokeroute/locality.go
+++ b/spokeroute/locality.go
@@ -64,16 +64,3 @@
 	}
 	return permitted, names
 }
-
-// sampledServers is the number of servers for each one that is compared.
-const sampledServers = 6
-
-// sampleSizeOf returns the number of random servers to compare. Of the few servers of one
-// data centre only some are compared, as the best of nearly all of them would be the same
-// one for all instances.
-func sampleSizeOf(servers int, isReduced bool) int {
-	if !isReduced {
-		return sampleSize
-	}
-	return min(sampleSize, max(1, servers/sampledServers))
-}
