spokescarcity: admission by the forecast while servers are short

Cause: on the platform each request is sent to the server with the earliest forecast, however late that is, so that all answers are late when servers are short.

--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -8,6 +8,7 @@
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokescarcity"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
@@ -69,7 +70,7 @@
 	r.answerStartedAt, r.isDelimited = 0, false
 	r.attemptSentAt, r.answerBytes = r.core.Clock.Now(), 0
 	response, err := r.callbacks.SendAttemptFunc(ctx, Attempt{
-		Server: attempt.Instance(), MovedFrom: movedFrom, TimeLeft: r.timeLeft(), Urgency: r.request.urgency(), LastEventID: r.lastEventID,
+		Server: attempt.Instance(), MovedFrom: movedFrom, TimeLeft: r.timeLeft(), Urgency: min(r.request.urgency()+r.urgencyStep, leastUrgent), LastEventID: r.lastEventID,
 		IsResent: slices.Contains(r.triedAddresses[:len(r.triedAddresses)-1], attempt.Instance().Address),
 	})
 	if err != nil {
@@ -125,6 +126,7 @@
 		attempt.Abandon()
 	case kind == KindNotRun:
 		attempt.EndRefused()
+		r.recordAdmitted(spokescarcity.EventFull)
 	case !kind.isAttemptOutcome():
 		attempt.Abandon()
 	default:
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -22,6 +22,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeretry"
 	"mulberryspoke.example/mulberryspoke/spokerollout"
 	"mulberryspoke.example/mulberryspoke/spokeroute"
+	"mulberryspoke.example/mulberryspoke/spokescarcity"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
@@ -75,6 +76,13 @@
 	// RecordAnswerFunc receives how the answers of attempts go. It is called several times
 	// for one attempt, each time with what has become known. It may be nil.
 	RecordAnswerFunc func(answer spokerollout.Answer)
+	// AdmissionFunc decides whether a request is sent to the server that has been chosen for
+	// it by the forecast, before its first attempt. It isn't called for the rest of a stream.
+	// Nil means that every request is sent.
+	AdmissionFunc func(request spokescarcity.Request) spokescarcity.Verdict
+	// RecordAdmittedFunc receives how requests go that AdmissionFunc has admitted. It must
+	// be set if AdmissionFunc is.
+	RecordAdmittedFunc func(service string, ticket *spokescarcity.Ticket, event spokescarcity.Event)
 	// RequestStartedFunc is called once for each request that a server has
 	// started to run. It may be nil.
 	RequestStartedFunc func(workspace string)
--- a/spokecore/counters.go
+++ b/spokecore/counters.go
@@ -72,3 +72,17 @@
 func (c *Counters) setLocalityShare(service, from, to string, share float64) {
 	c.set.GetOrCreateGauge(fmt.Sprintf("spoke_locality_share{service=%q,from=%q,to=%q}", service, from, to), nil).Set(share)
 }
+
+// countUnadmitted counts a request that was not sent to a server, by its route and the reason.
+func (c *Counters) countUnadmitted(route, reason string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("spoke_unadmitted_requests_total{route=%q,reason=%q}", route, reason)).Inc()
+}
+
+// setShortage sets whether the servers of a service are short.
+func (c *Counters) setShortage(service string, isShort bool) {
+	value := 0.0
+	if isShort {
+		value = 1
+	}
+	c.set.GetOrCreateGauge(fmt.Sprintf("spoke_service_short{service=%q}", service), nil).Set(value)
+}
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -11,6 +11,7 @@
 	"mulberryspoke.example/mulberryspoke/spokelocality"
 	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spokeroute"
+	"mulberryspoke.example/mulberryspoke/spokescarcity"
 )
 
 const (
@@ -83,6 +84,10 @@
 	// rollout, and failedVersion the version of the server at which an attempt has failed.
 	versionDraw   float64
 	failedVersion string
+	// admitted is what the decision of AdmissionFunc is told about the request, or nil.
+	admitted *spokescarcity.Ticket
+	// urgencyStep is added to the request's urgency at engines.
+	urgencyStep int
 	// isUnrecorded is whether the stream could not be recorded at that version.
 	isUnrecorded bool
 	// observer reports how the answer to the present attempt goes.
@@ -116,6 +121,7 @@
 			defer r.request.OnEndFunc(cancel)()
 		}
 		refusal = r.tryServers(ctx, deadlineCtx)
+		r.recordAdmitted(spokescarcity.EventEnd)
 		r.endTrial()
 	}
 	admission.Release()
@@ -138,6 +144,9 @@
 		if decision.Server() == "" {
 			return r.finalRefusal(ctx, KindNoServer, errors.Join(errors.New(string(decision.Reason())), lastErr))
 		}
+		if refusal := r.applyAdmission(ctx, decision); refusal != nil {
+			return refusal
+		}
 		if cause := r.admitAttempt(); cause != nil {
 			return r.finalRefusal(ctx, KindQuarantined, cause)
 		}
@@ -281,6 +290,7 @@
 	}
 	r.executionStarted = true
 	r.firstEventAt.Store(int64(r.core.Clock.Now()))
+	r.recordAdmitted(spokescarcity.EventFirst)
 	if r.forecast > 0 {
 		r.core.Counters.forecastRatio.Update(float64(r.core.Clock.Now()-r.chosenAt) / r.forecast)
 	}
