--- a/spokescarcity/precedence.go
+++ b/spokescarcity/precedence.go
@@ -22,9 +22,6 @@
 	// maxRefusedPart leaves some requests that are expected late, whose answers show when
 	// forecasts are too high.
 	maxRefusedPart = 0.95
-	// refusalGain is the refused part of requests that are expected late by the share of the
-	// choices that are late.
-	refusalGain = 1.5
 )
 
 type routeKey struct {
@@ -59,6 +56,8 @@
 type workspace struct {
 	rank   int
 	demand spokerate.Rate
+	// late is the part of the demand that is expected late.
+	late spokerate.Rate
 	// weight is by how much its requests are refused more often than those of its rank.
 	weight float64
 }
@@ -84,7 +83,7 @@
 		if len(s.workspaces) >= maxEntries {
 			clear(s.workspaces)
 		}
-		w = &workspace{rank: request.Rank, demand: spokerate.Rate{TimeConstant: demandTime}, weight: 1}
+		w = &workspace{rank: request.Rank, demand: spokerate.Rate{TimeConstant: demandTime}, late: spokerate.Rate{TimeConstant: demandTime}, weight: 1}
 		s.workspaces[key] = w
 	}
 	return w
@@ -128,7 +127,9 @@
 // order of precedence, and among the workspaces of a rank.
 func (s *Service) plan(now spokeclock.Millis) {
 	recent := s.evidence.sum(0, recentBuckets)
-	part := 1 - min(maxRefusedPart, refusalGain*recent.overShare())
+	// Without precedence, a request that is expected late is refused as often as choices are
+	// late.
+	part := 1 - min(maxRefusedPart, recent.overShare())
 	routes := make([]plannedRoute, 0, len(s.routes))
 	for key, r := range s.routes {
 		requests := r.requests.PerSecond(now)
@@ -189,40 +190,41 @@
 // weighWorkspaces sets the weights of the workspaces of each rank so that they are refused in
 // proportion to their demand beyond an equal share of what is admitted.
 func (s *Service) weighWorkspaces(routes []plannedRoute, now spokeclock.Millis) {
-	demands, refused := make(map[int][]float64), make(map[int]float64)
+	demands, late, refused := make(map[int][]float64), make(map[int]float64), make(map[int]float64)
 	for _, w := range s.workspaces {
 		demands[w.rank] = append(demands[w.rank], w.demand.PerSecond(now))
+		late[w.rank] += w.late.PerSecond(now)
 	}
 	for _, r := range routes {
 		refused[r.rank] += r.late * r.cost * (1 - r.admitted)
 	}
-	shares, totals := make(map[int]float64), make(map[int]float64)
+	shares := make(map[int]float64)
 	for rank, of := range demands {
-		shares[rank], totals[rank] = equalShare(of, refused[rank])
+		shares[rank] = equalShare(of, refused[rank])
 	}
 	for _, w := range s.workspaces {
-		demand := w.demand.PerSecond(now)
 		w.weight = 1
-		if refused[w.rank] > 0 && demand > 0 {
-			w.weight = max(0, demand-shares[w.rank]) / demand * totals[w.rank] / refused[w.rank]
+		if own := w.late.PerSecond(now); own > 0 && refused[w.rank] > 0 {
+			beyond := max(0, w.demand.PerSecond(now)-shares[w.rank])
+			w.weight = beyond / own * late[w.rank] / refused[w.rank]
 		}
 	}
 }
 
 // equalShare returns the share up to which each demand is admitted if an amount of all is
-// refused, and the sum of the demands.
-func equalShare(demands []float64, refused float64) (share, total float64) {
+// refused.
+func equalShare(demands []float64, refused float64) float64 {
 	slices.Sort(demands)
+	rest := -refused
 	for _, d := range demands {
-		total += d
+		rest += d
 	}
-	rest := max(0, total-refused)
 	for i, d := range demands {
-		share = rest / float64(len(demands)-i)
+		share := max(0, rest) / float64(len(demands)-i)
 		if d >= share {
-			return share, total
+			return share
 		}
 		rest -= d
 	}
-	return math.Inf(1), total
+	return math.Inf(1)
 }
--- a/spokescarcity/service.go
+++ b/spokescarcity/service.go
@@ -184,7 +184,9 @@
 	r.over.Add(over, now)
 	r.cost += (float64(request.EngineTime) - r.cost) * max(costWeight, 1/float64(r.count+1))
 	r.count++
-	s.workspace(request).demand.Add(float64(request.EngineTime), now)
+	w := s.workspace(request)
+	w.demand.Add(float64(request.EngineTime), now)
+	w.late.Add(over*float64(request.EngineTime), now)
 }
 
 func (s *Service) admit(request Request, r *route, now spokeclock.Millis) *Ticket {
--- a/spokescarcity/simulation_test.go
+++ b/spokescarcity/simulation_test.go
@@ -31,12 +31,14 @@
 }
 
 type simulatedDeployment struct {
-	Name        string    `yaml:"name"`
-	Instances   int       `yaml:"instances"`
-	DataCentres int       `yaml:"data_centres"`
-	Servers     int       `yaml:"servers"`
-	Slots       int       `yaml:"slots"`
-	Speeds      []float64 `yaml:"speeds"`
+	Name        string `yaml:"name"`
+	Instances   int    `yaml:"instances"`
+	DataCentres int    `yaml:"data_centres"`
+	Servers     int    `yaml:"servers"`
+	// ShortServers are 95 in 100 of the servers that the usual load needs.
+	ShortServers int       `yaml:"short_servers"`
+	Slots        int       `yaml:"slots"`
+	Speeds       []float64 `yaml:"speeds"`
 	// The engines' step and prefill at a speed of 1.
 	StepMillis           float64         `yaml:"step_millis"`
 	StepMillisPerRequest float64         `yaml:"step_millis_per_request"`
@@ -80,8 +82,9 @@
 	From  spokeclock.Millis `yaml:"from_millis"`
 	To    spokeclock.Millis `yaml:"to_millis"`
 	Until spokeclock.Millis `yaml:"until_millis"`
-	// Servers replaces the number of servers of the deployment.
-	Servers int `yaml:"servers"`
+	// Servers replaces the number of servers of the deployment, and IsShort by ShortServers.
+	Servers int  `yaml:"servers"`
+	IsShort bool `yaml:"is_short"`
 	// Lost is the share of servers that are gone, or LostDataCentre whether all of one data
 	// centre are.
 	Lost           float64 `yaml:"lost"`
@@ -209,7 +212,11 @@
 		engines: make(map[string]*simulatedEngine), events: make(map[spokeclock.Millis][]func()),
 	}
 	r.clock.Advance(1)
-	for i := range cmp.Or(p.Servers, d.Servers) {
+	servers := cmp.Or(p.Servers, d.Servers)
+	if p.IsShort {
+		servers = d.ShortServers
+	}
+	for i := range servers {
 		e := &simulatedEngine{
 			name: fmt.Sprintf("lm-%d", i), dataCentre: fmt.Sprint("dc-", i%d.DataCentres), speed: d.Speeds[i/d.DataCentres%len(d.Speeds)], cached: make(map[uint64]bool),
 		}
