spokescarcity: admit at least three tenths of what is expected late

Cause: where nearly all choices are late, 95 in 100 of all routes' requests were refused, so that precedence had nothing to divide.

Change: at most 0.7 of the engine time of requests that are expected late is refused; urgent and cheap routes get most of the rest.

--- a/spokescarcity/precedence.go
+++ b/spokescarcity/precedence.go
@@ -26,6 +26,10 @@
 	// the choices that are. With a demand of a third too much, 4 in 10 choices are late and
 	// 8 in 10 of these are refused.
 	refusalGain = 2
+	// maxRefusedDemand bounds the refused part of the engine time of requests that are expected
+	// late. Bursts are up to 2.6 times the usual load; of three tenths that are admitted in any
+	// case, urgent and cheap routes get most.
+	maxRefusedDemand = 0.7
 )
 
 type routeKey struct {
@@ -131,7 +135,7 @@
 // order of precedence, and among the workspaces of a rank.
 func (s *Service) plan(now spokeclock.Millis) {
 	recent := s.evidence.sum(0, recentBuckets)
-	part := 1 - min(maxRefusedPart, refusalGain*recent.overShare())
+	part := 1 - min(maxRefusedDemand, refusalGain*recent.overShare())
 	routes := make([]plannedRoute, 0, len(s.routes))
 	for key, r := range s.routes {
 		requests := r.requests.PerSecond(now)
