--- a/spokescarcity/bench_test.go
+++ b/spokescarcity/bench_test.go
@@ -30,12 +30,12 @@
 				request.Route, request.Workspace = routes[i%len(routes)], workspaces[i%len(workspaces)]
 				verdict := admission.Decide(request)
 				at := i % len(tickets)
-				if tickets[at] != nil && isShort {
-					admission.Record("s", tickets[at], spokescarcity.EventFirst)
+				recorded := verdict.Ticket()
+				if isShort {
+					recorded, tickets[at] = tickets[at], recorded
 				}
-				tickets[at] = verdict.Ticket()
-				if !isShort {
-					admission.Record("s", verdict.Ticket(), spokescarcity.EventFirst)
+				if recorded != nil {
+					admission.Record("s", recorded, spokescarcity.EventFirst)
 				}
 				clock.Advance(1)
 			}
