--- a/spokescarcity/service_test.go
+++ b/spokescarcity/service_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -165,3 +167,26 @@
 		r.answers = append(r.answers, pendingAnswer{at: r.now + kind.Answer, ticket: verdict.Ticket()})
 	}
 }
+
+// TestConcurrentUse guards against an admission that is unsafe for the requests of several
+// goroutines. It shows faults under the race detector only.
+func TestConcurrentUse(t *testing.T) {
+	var clock spokeclock.Manual
+	clock.Advance(1)
+	admission := &spokescarcity.Admission{Clock: clock.Clock(), RefusesDisplacing: true}
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			for n := range 200 {
+				verdict := admission.Decide(spokescarcity.Request{
+					Service: "s", Route: strconv.Itoa(i % 3), Workspace: strconv.Itoa(i), Target: 100, Forecast: 200, EngineTime: 10, TimeLeft: 5000, CallerTimeLeft: 5000,
+				})
+				if ticket := verdict.Ticket(); ticket != nil && n%2 == 0 {
+					admission.Record("s", ticket, spokescarcity.EventFirst)
+				}
+				clock.Advance(5)
+			}
+		})
+	}
+	group.Wait()
+}
