spokescarcity: requests that can be in time stay ahead of late ones at engines

Cause: with the value precedence, a request that can be in time but displaces an urgent route was sent one step less urgent, as if it were late.

Change: the step is for requests past their own target only. Refusals for displacing others have a reason of their own.

--- a/spokecore/admission.go
+++ b/spokecore/admission.go
@@ -31,7 +31,7 @@
 	r.core.Log.Info().Str("id", r.request.ID).Str("service", request.Service).Str("route", request.Route).Str("workspace", request.Workspace).Str("reason", string(verdict.Reason())).
 		Float64("forecast_millis", decision.Cost()).Float64("corrected_millis", verdict.Forecast()).Int64("target_millis", int64(request.Target)).Int64("left_millis", int64(request.TimeLeft)).
 		Float64("refused_part", verdict.RefusedPart()).Int64("evidence_age_millis", int64(verdict.EvidenceAge())).Msg("Request is not sent, as servers are short.")
-	refusal := r.finalRefusal(ctx, KindOverloaded, fmt.Errorf("the first event is expected in %.0f ms and due in %d ms", verdict.Forecast(), request.Target))
+	refusal := r.finalRefusal(ctx, KindOverloaded, fmt.Errorf("%s: the first event is expected in %.0f ms and due in %d ms", verdict.Reason(), verdict.Forecast(), request.Target))
 	if refusal.kind == KindOverloaded {
 		refusal.retryAfter = verdict.RetryAfter()
 	}
--- a/spokescarcity/request.go
+++ b/spokescarcity/request.go
@@ -27,6 +27,9 @@
 	// ReasonPrecedence means that the first event is expected late and that others are
 	// served first.
 	ReasonPrecedence Reason = "precedence"
+	// ReasonDisplacing means that the request could be in time, but that a route that goes
+	// first is late.
+	ReasonDisplacing Reason = "displacing"
 )
 
 // Verdict is the decision on one request. The zero value admits it.
--- a/spokescarcity/service.go
+++ b/spokescarcity/service.go
@@ -143,7 +143,7 @@
 	r := s.route(request)
 	forecast := request.Forecast + r.meanError(now)
 	r.target = float64(request.Target)
-	excess := forecast - r.target
+	isLate, excess := forecast > r.target, forecast-r.target
 	if s.RefusesDisplacing && s.isShort && r.bound > 0 && r.bound < r.target {
 		excess = forecast - r.bound
 	}
@@ -151,13 +151,17 @@
 	if !s.isShort {
 		return Verdict{forecast: forecast, ticket: s.admit(request, r, now)}
 	}
-	verdict := Verdict{isShort: true, isLate: excess > 0, forecast: forecast, evidenceAge: now - s.lastFirstAt}
+	verdict := Verdict{isShort: true, isLate: isLate, forecast: forecast, evidenceAge: now - s.lastFirstAt}
 	switch {
 	case forecast > float64(request.TimeLeft):
 		verdict.reason, verdict.refusedPart = ReasonDeadline, 1
 	case excess > 0:
 		verdict.refusedPart = s.refusedPart(request, r)
-		if random < verdict.refusedPart {
+		if random >= verdict.refusedPart {
+			break
+		}
+		verdict.reason = ReasonDisplacing
+		if isLate {
 			verdict.reason = ReasonPrecedence
 		}
 	}
--- a/spokescarcity/service_test.go
+++ b/spokescarcity/service_test.go
@@ -170,7 +170,7 @@
 
 // TestConcurrentUse guards against an admission that is unsafe for the requests of several
 // goroutines. It shows faults under the race detector only.
-func TestConcurrentUse(t *testing.T) {
+func TestConcurrentUse(*testing.T) {
 	var clock spokeclock.Manual
 	clock.Advance(1)
 	admission := &spokescarcity.Admission{Clock: clock.Clock(), RefusesDisplacing: true}
