spokememory: bounds on the listeners that callers do not use

Cause: the readiness, metrics, peers' and operators' listeners accepted any number of connections, and one client could use up the descriptors. Headers of 1 MB were read there, and an ended connection of the peers' listener stayed reachable from the node's context until the process ended.

Headers have up to 64 KB there.

The request path has no further lock or allocation. A client that says hello as a peer cannot be told from one; the network has to keep it away.

--- a/cmd/mulberryspoke/platform.go
+++ b/cmd/mulberryspoke/platform.go
@@ -67,6 +67,7 @@
 	LogLinesPerSecond int    `long:"log-lines-per-second" env:"MULBERRYSPOKE_LOG_LINES" description:"Largest number of log lines a second" default:"400"`
 	BudgetMegabytes   int    `long:"caller-memory-mb" env:"MULBERRYSPOKE_CALLER_MEMORY_MB" description:"Memory in MB that callers' requests may hold; 0: a quarter of the settings' memory" default:"0"`
 	Connections       int    `long:"caller-connections" env:"MULBERRYSPOKE_CALLER_CONNECTIONS" description:"Largest number of callers' connections; 0: derived from the settings' memory and descriptors" default:"0"`
+	PeerConnections   int    `long:"peer-connections" env:"MULBERRYSPOKE_PEER_CONNECTIONS" description:"Largest number of connections from other entry instances; 0: derived from the settings' descriptors" default:"0"`
 	ReturnOrder       string `long:"return-order" env:"MULBERRYSPOKE_RETURN_ORDER" description:"When refused callers come back: estimate (when their level is above zero) or schedule (one after the other, urgent ones first)" choice:"estimate" choice:"schedule" default:"estimate"`
 	Locality          localityFlags
 	TraceExporter     string `long:"trace" env:"MULBERRYSPOKE_TRACE" description:"Exporter of traces: none or json (to standard error)" default:"none"`
@@ -82,7 +83,7 @@
 	if c.SettingsPath == "" {
 		c.SettingsPath = os.Getenv(platform.SettingsPathVariable)
 	}
-	limits, err := spokememory.OverridesFromFlags(c.BudgetMegabytes, c.Connections)
+	limits, err := spokememory.OverridesFromFlags(c.BudgetMegabytes, c.Connections, c.PeerConnections)
 	if err != nil {
 		return err
 	}
--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -40,6 +40,12 @@
 	drainPollInterval = 20 * spokeclock.Millis(1)
 	pruneInterval     = 60 * spokeclock.Second
 	headerTimeout     = 2 * spokeclock.Second
+	// maxCommandTime is the time after which the connection of an operator's command may be
+	// closed for another one. Commands write a few rows of the table, whose calls end sooner.
+	maxCommandTime = 10 * spokeclock.Second
+	// maxOperatorHeaderBytes is far above the headers of operators, probes and readers of
+	// metrics.
+	maxOperatorHeaderBytes = 64 << 10
 	// memoryLimitRatio is the part of an instance's memory that GOMEMLIMIT leaves to the Go
 	// runtime.
 	memoryLimitRatio = 0.7
@@ -82,6 +88,7 @@
 	guard          *spokememory.Guard
 	callerServer   *http.Server
 	operatorServer *http.Server
+	operatorLimit  *spokememory.ConnectionLimit
 	unready        atomic.Bool
 	killed         chan struct{}
 	killOnce       sync.Once
@@ -106,7 +113,7 @@
 	var running sync.WaitGroup
 	e.startBackground(background, &running)
 	running.Go(func() { spokehttp.Serve(e.callerServer, e.guard.Connections.Listener(listeners.callers), e.log) })
-	running.Go(func() { spokehttp.Serve(e.operatorServer, listeners.operators, e.log) })
+	running.Go(func() { spokehttp.Serve(e.operatorServer, e.operatorLimit.Listener(listeners.operators), e.log) })
 	e.log.Info().Str("callers", e.Settings.CallerAddress).Msg("Entry instance is serving.")
 	close(e.started)
 	select {
@@ -176,6 +183,7 @@
 func (e *Entry) buildComponents(peers net.Listener) {
 	e.log = e.Logs.Component("entry")
 	e.metrics = metrics.NewSet()
+	e.guard = spokememory.NewGuard(e.limits(), e.metrics, e.Logs.Component("serve"))
 	client, noKeepAliveClient := spokehttp.NewClient(), spokehttp.NewNoKeepAliveClient()
 	table := &spoketable.Table{URL: e.Settings.TableURL, Client: client, NoKeepAliveClient: noKeepAliveClient}
 	objects := &spokeobject.Store{URL: e.Settings.ObjectURL, NoKeepAliveClient: noKeepAliveClient}
@@ -189,7 +197,7 @@
 	}
 	e.peerNode = &spokepeer.Node{
 		View: e.view, Store: e.store, Registry: e.registry, AttemptStateFunc: e.claims.AttemptState,
-		Listener: peers, Log: e.Logs.Component("peer"),
+		Listener: e.guard.Peers.Listener(peers), LinkHeardFunc: e.guard.Peers.RecordHeartbeat, Log: e.Logs.Component("peer"),
 	}
 	e.registry.LongAnswersChangedFunc = e.peerNode.TriggerHeartbeatsIfFewLinks
 	e.poller = &spokewatch.Poller{
@@ -219,7 +227,6 @@
 
 func (e *Entry) buildServers(client, noKeepAliveClient *http.Client) {
 	e.core = e.newCore()
-	e.guard = spokememory.NewGuard(e.limits(), e.metrics, e.Logs.Component("serve"))
 	e.server = &spokeserve.Server{
 		Core: e.core, Store: e.store, Claims: e.claims,
 		AttemptStateFunc: e.peerNode.AttemptState, ConfigUpToDateFunc: e.peerNode.ConfigCheckDone,
@@ -231,7 +238,8 @@
 	e.commands = &spokeoperate.CommandService{Authenticator: authenticator, Repository: e.repository, View: e.view, ChangedFunc: e.peerNode.TriggerHeartbeats}
 	e.queries = &spokeoperate.QueryService{Authenticator: authenticator, Store: e.store, View: e.view, Registry: e.registry, Core: e.core, Leases: []*spokelease.Lease{e.pruneLease, e.fleet.Lease}}
 	e.callerServer = &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: headerTimeout.Duration(), ConnState: e.guard.Connections.Update}
-	e.operatorServer = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	e.operatorLimit = e.guard.NewSmallListener("operators", maxCommandTime)
+	e.operatorServer = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout.Duration(), MaxHeaderBytes: maxOperatorHeaderBytes, ConnState: e.operatorLimit.Update}
 }
 
 // limits returns the bounds on callers: those that are set, else those derived from the
@@ -247,7 +255,7 @@
 		descriptors = int(min(files.Cur, maxDescriptors))
 	}
 	derived := spokememory.DeriveLimits(int64(float64(memory)/memoryLimitRatio), descriptors)
-	return derived.Overridden(spokememory.Limits{BudgetBytes: int64(e.Settings.BudgetMegabytes) << megabyteShift, Connections: e.Settings.Connections})
+	return derived.Overridden(spokememory.Limits{BudgetBytes: int64(e.Settings.BudgetMegabytes) << megabyteShift, Connections: e.Settings.Connections, PeerConnections: e.Settings.PeerConnections})
 }
 
 // newCore returns the core without the disabled mechanisms.
--- a/spokeentry/settings.go
+++ b/spokeentry/settings.go
@@ -55,6 +55,7 @@
 	MaxBodyBytes       int64             `long:"max-body-bytes" env:"MULBERRYSPOKE_MAX_BODY_BYTES" description:"Largest request body" default:"1048576"`
 	BudgetMegabytes    int               `long:"caller-memory-mb" env:"MULBERRYSPOKE_CALLER_MEMORY_MB" description:"Memory in MB that callers' requests may hold; 0: derived from GOMEMLIMIT, without a bound if that is not set" default:"0"`
 	Connections        int               `long:"caller-connections" env:"MULBERRYSPOKE_CALLER_CONNECTIONS" description:"Largest number of callers' connections; 0: derived from GOMEMLIMIT and the limit of open files" default:"0"`
+	PeerConnections    int               `long:"peer-connections" env:"MULBERRYSPOKE_PEER_CONNECTIONS" description:"Largest number of connections from other entry instances; 0: derived from the limit of open files" default:"0"`
 	DisabledMechanisms []string          `long:"switch-off" env:"MULBERRYSPOKE_SWITCH_OFF" env-delim:"," description:"Mechanism to turn off, for tests and measurements: resume, claims, move, cache_move, priority, admission, slow_move"`
 }
 
@@ -84,6 +85,7 @@
 	v.require(s.MaxBodyBytes > 0 && s.MaxBodyBytes <= maxBodyBytes, "max-body-bytes", strconv.FormatInt(s.MaxBodyBytes, 10), "1 to 67108864")
 	v.require(s.BudgetMegabytes >= 0 && s.BudgetMegabytes <= maxCallerLimit, "caller-memory-mb", strconv.Itoa(s.BudgetMegabytes), "0 to 1048576")
 	v.require(s.Connections >= 0 && s.Connections <= maxCallerLimit, "caller-connections", strconv.Itoa(s.Connections), "0 to 1048576")
+	v.require(s.PeerConnections >= 0 && s.PeerConnections <= maxCallerLimit, "peer-connections", strconv.Itoa(s.PeerConnections), "0 to 1048576")
 	for _, peer := range s.SeedPeers {
 		_, err := parsePeer(peer)
 		v.require(err == nil, "peer", peer, "name@data-centre@ip:port")
--- a/spokeentry/settings_test.go
+++ b/spokeentry/settings_test.go
@@ -54,14 +54,10 @@
 	switch name {
 	case "peer":
 		s.SeedPeers = []string{value}
-	case "caller_memory", "caller_connections":
+	case "caller_memory", "caller_connections", "peer_connections":
 		number, err := strconv.Atoi(value)
 		require.NoError(t, err)
-		if name == "caller_memory" {
-			s.BudgetMegabytes = number
-		} else {
-			s.Connections = number
-		}
+		*map[string]*int{"caller_memory": &s.BudgetMegabytes, "caller_connections": &s.Connections, "peer_connections": &s.PeerConnections}[name] = number
 	case "switch_off":
 		s.DisabledMechanisms = []string{value}
 	default:
--- a/spokememory/budget_test.go
+++ b/spokememory/budget_test.go
@@ -111,39 +111,59 @@
 		Descriptors int    `yaml:"descriptors"`
 		BudgetMB    int64  `yaml:"budget_mb"`
 		Connections int    `yaml:"connections"`
+		// Peers and Small bound the connections of the peers' listener and of each one for
+		// probes, metrics or operators.
+		Peers int `yaml:"peers"`
+		Small int `yaml:"small"`
 	}](t, "testdata/limits.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			limits := DeriveLimits(c.MemoryMB<<20, c.Descriptors)
 			require.Equal(t, c.BudgetMB, limits.BudgetBytes>>20)
 			require.Equal(t, c.Connections, limits.Connections)
+			require.Equal(t, c.Peers, limits.PeerConnections)
+			require.Equal(t, c.Small, limits.SmallListener)
 		})
 	}
 }
 
+// TestOwnReserve guards against bounds at which a full mesh of 160 peers, or the gateway of
+// a data centre of 20 among 20 other ones, loses links, or which leave the table no
+// descriptors of the reserve.
+func TestOwnReserve(t *testing.T) {
+	const meshPeers, gatewayPeers, ownCalls = 160, 19 + 2*20, 20
+	limits := DeriveLimits(144<<20, 3075)
+	require.GreaterOrEqual(t, limits.PeerConnections, meshPeers)
+	require.GreaterOrEqual(t, limits.PeerConnections, gatewayPeers)
+	require.LessOrEqual(t, limits.PeerConnections+meshPeers+2*limits.SmallListener+ownCalls, maxOwnReserve)
+}
+
 // TestOverrides guards against a flag that is ignored, or that overflows a bound.
 func TestOverrides(t *testing.T) {
 	cases := spokecase.Read[[]struct {
 		Name        string `yaml:"name"`
 		BudgetMB    int    `yaml:"budget_mb"`
 		Connections int    `yaml:"connections"`
+		Peers       int    `yaml:"peers"`
 		Error       string `yaml:"error"`
-		// Want are the limits that replace derived ones of 1 MB and 10 connections.
+		// Want are the limits that replace derived ones of 1 MB, 10 connections and 5 of peers.
 		WantBudgetMB    int64 `yaml:"want_budget_mb"`
 		WantConnections int   `yaml:"want_connections"`
+		WantPeers       int   `yaml:"want_peers"`
 	}](t, "testdata/overrides.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			overrides, err := OverridesFromFlags(c.BudgetMB, c.Connections)
+			overrides, err := OverridesFromFlags(c.BudgetMB, c.Connections, c.Peers)
 			if c.Error != "" {
 				require.ErrorContains(t, err, c.Error)
 				require.Equal(t, KindInvalidLimit, spokeerror.KindOf[Kind](err))
 				return
 			}
 			require.NoError(t, err)
-			limits := Limits{BudgetBytes: 1 << 20, Connections: 10}.Overridden(overrides)
+			limits := Limits{BudgetBytes: 1 << 20, Connections: 10, PeerConnections: 5}.Overridden(overrides)
 			require.Equal(t, c.WantBudgetMB, limits.BudgetBytes>>20)
 			require.Equal(t, c.WantConnections, limits.Connections)
+			require.Equal(t, c.WantPeers, limits.PeerConnections)
 		})
 	}
 }
--- a/spokememory/connection.go
+++ b/spokememory/connection.go
@@ -39,6 +39,8 @@
 	CloseSlowHeaders CloseReason = "slow_headers"
 	// CloseNotRead is the same for a connection whose caller has stopped reading its answer.
 	CloseNotRead CloseReason = "not_read"
+	// CloseSlowRequest is the same for a connection whose request takes too long.
+	CloseSlowRequest CloseReason = "slow_request"
 	// CloseNoPlace means that a new connection had no place.
 	CloseNoPlace CloseReason = "no_place"
 	// CloseHeaders means that the budget had no room for the headers.
@@ -61,13 +63,20 @@
 // Age returns the time since the connection was in another state.
 func (c ClosedConnection) Age() spokeclock.Millis { return c.age }
 
-// ConnectionLimit bounds the connections of callers. Its fields are set before the first
+// ConnectionLimit bounds the connections of a listener. Its fields are set before the first
 // call. It is safe for concurrent use.
 type ConnectionLimit struct {
 	// Limit is the largest number of connections. Zero means no bound.
 	Limit int
-	// Budget is charged with long headers.
+	// Budget is charged with long headers. Nil means that the connections are not those of
+	// callers and nothing is charged.
 	Budget *Budget
+	// MaxRequestTime is the time after which a connection may be closed for another one
+	// while its request is in progress. Zero means never.
+	MaxRequestTime spokeclock.Millis
+	// HasLinks means that the connections are those of peers, whose end no HTTP server
+	// reports to Update.
+	HasLinks bool
 	// Clock is the source of time. Nil means the real clock.
 	Clock *spokeclock.Clock
 	// ClosedFunc is called with each connection that is closed. It may be nil.
@@ -87,9 +96,11 @@
 	phaseRequest
 	// phaseIdle is after a request, until the headers of the next one are complete.
 	phaseIdle
+	// phaseLink is after the hello of a peer.
+	phaseLink
 )
 
-// connection is a connection of a caller.
+// connection is an accepted connection.
 type connection struct {
 	net.Conn
 	limit  *ConnectionLimit
@@ -102,13 +113,18 @@
 	// headersBegunAt is the time of the first byte of the present headers.
 	headersBegunAt atomic.Int64
 
-	// phase and since, the time of its begin, are guarded by the limit's mutex.
+	// phase and since, the time of its begin or of the last heartbeat, are guarded by the
+	// limit's mutex.
 	phase phase
 	since spokeclock.Millis
+	// maxSilence is the time without a heartbeat after which a link counts as lost. It is
+	// guarded by the limit's mutex.
+	maxSilence spokeclock.Millis
 }
 
 // Listener returns a listener of the accepted connections. Connections that have no place
-// are closed. The server must call Update with their states.
+// are closed. An HTTP server must call Update with their states, and the node of a peer
+// RecordHeartbeat.
 func (l *ConnectionLimit) Listener(inner net.Listener) net.Listener {
 	return &limitedListener{Listener: inner, limit: l}
 }
@@ -145,7 +161,7 @@
 	if closed == c {
 		return nil
 	}
-	if buffered, ok := conn.(*net.TCPConn); ok && l.Limit > 0 {
+	if buffered, ok := conn.(*net.TCPConn); ok && l.Limit > 0 && l.Budget != nil {
 		_ = buffered.SetReadBuffer(socketBufferBytes)
 		_ = buffered.SetWriteBuffer(socketBufferBytes)
 	}
@@ -178,7 +194,7 @@
 
 // leastNeeded returns the connection to close for another one, or nil: the one that has
 // been idle longest, else the longest silent one, else the one whose headers are latest,
-// else one whose caller does not read.
+// else one whose caller does not read, else the one whose request takes longest.
 func (l *ConnectionLimit) leastNeeded(now spokeclock.Millis) (*connection, CloseReason) {
 	var victim *connection
 	var reason CloseReason
@@ -195,7 +211,7 @@
 }
 
 // closeOrder orders the reasons for which a connection is closed for another one.
-var closeOrder = map[CloseReason]int{CloseIdle: 0, CloseSilent: 1, CloseSlowHeaders: 2, CloseNotRead: 3}
+var closeOrder = map[CloseReason]int{CloseIdle: 0, CloseSilent: 1, CloseSlowHeaders: 2, CloseNotRead: 3, CloseSlowRequest: 4}
 
 // closeReason reports whether the connection may be closed for another one, and why.
 func (c *connection) closeReason(now spokeclock.Millis) (CloseReason, bool) {
@@ -205,9 +221,12 @@
 		age = now - spokeclock.Millis(c.headersBegunAt.Load())
 	}
 	switch {
+	case c.phase == phaseRequest && c.isNotRead(now):
+		return CloseNotRead, true
 	case c.phase == phaseRequest:
-		begunAt := spokeclock.Millis(c.writeBegunAt.Load())
-		return CloseNotRead, begunAt > 0 && now-begunAt >= unreadLimit
+		return CloseSlowRequest, c.limit.MaxRequestTime > 0 && age >= c.limit.MaxRequestTime
+	case c.phase == phaseLink:
+		return CloseIdle, now-c.since > c.maxSilence
 	case c.phase == phaseIdle && !hasHeaders:
 		return CloseIdle, true
 	case !hasHeaders:
@@ -217,6 +236,27 @@
 	}
 }
 
+// isNotRead reports whether the other end has taken nothing of a write for too long.
+func (c *connection) isNotRead(now spokeclock.Millis) bool {
+	begunAt := spokeclock.Millis(c.writeBegunAt.Load())
+	return begunAt > 0 && now-begunAt >= unreadLimit
+}
+
+// RecordHeartbeat records that the connection is the link of a peer, from which a message
+// has just come. It is not closed for another one unless no further message comes for
+// maxSilence.
+func (l *ConnectionLimit) RecordHeartbeat(conn net.Conn, maxSilence spokeclock.Millis) {
+	c, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	c.isInRequest.Store(true)
+	now := l.Clock.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	c.phase, c.since, c.maxSilence = phaseLink, now, maxSilence
+}
+
 // Update records the state of a connection. It is called by the server's ConnState.
 func (l *ConnectionLimit) Update(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*connection)
@@ -294,6 +334,15 @@
 	return err
 }
 
+// Close closes the connection. That of a peer gives its place back.
+func (c *connection) Close() error {
+	err := c.Conn.Close()
+	if c.limit.HasLinks {
+		c.limit.remove(c)
+	}
+	return err
+}
+
 // SetLinger sets what a close does with unsent bytes, as net.TCPConn does.
 func (c *connection) SetLinger(seconds int) error {
 	if lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
--- a/spokememory/connection_test.go
+++ b/spokememory/connection_test.go
@@ -23,13 +23,19 @@
 	Idle    string            `yaml:"idle"`
 	Leave   string            `yaml:"leave"`
 	// HeadersOf is the connection that sends Headers bytes; the accepted one if empty.
-	HeadersOf string      `yaml:"headers_of"`
-	Headers   int64       `yaml:"headers"`
-	Write     string      `yaml:"write"`
-	Closed    string      `yaml:"closed"`
-	Refused   bool        `yaml:"refused"`
-	Reason    CloseReason `yaml:"reason"`
-	Held      *int64      `yaml:"held"`
+	HeadersOf string `yaml:"headers_of"`
+	Headers   int64  `yaml:"headers"`
+	Write     string `yaml:"write"`
+	// Heartbeat is the link whose hello or heartbeat comes, and MaxSilence the time after
+	// which it counts as lost.
+	Heartbeat  string            `yaml:"heartbeat"`
+	MaxSilence spokeclock.Millis `yaml:"max_silence"`
+	// End is the connection that its server closes.
+	End     string      `yaml:"end"`
+	Closed  string      `yaml:"closed"`
+	Refused bool        `yaml:"refused"`
+	Reason  CloseReason `yaml:"reason"`
+	Held    *int64      `yaml:"held"`
 }
 
 // scriptedConn is a connection without a network.
@@ -58,10 +64,12 @@
 // descriptors, and against the end of connections that callers use.
 func TestConnectionLimit(t *testing.T) {
 	cases := spokecase.Read[[]struct {
-		Name   string           `yaml:"name"`
-		Limit  int              `yaml:"limit"`
-		Budget int64            `yaml:"budget"`
-		Steps  []connectionStep `yaml:"steps"`
+		Name           string            `yaml:"name"`
+		Limit          int               `yaml:"limit"`
+		Budget         int64             `yaml:"budget"`
+		MaxRequestTime spokeclock.Millis `yaml:"max_request_time"`
+		HasLinks       bool              `yaml:"has_links"`
+		Steps          []connectionStep  `yaml:"steps"`
 	}](t, "testdata/connections.yaml")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
@@ -69,7 +77,7 @@
 			// A write that begins at the time 0 would count as none.
 			s.manual.Advance(spokeclock.Second)
 			budget := &Budget{Limit: c.Budget, Clock: s.manual.Clock()}
-			s.limit = &ConnectionLimit{Limit: c.Limit, Budget: budget, Clock: s.manual.Clock(), ClosedFunc: func(d ClosedConnection) { s.closed = append(s.closed, d) }}
+			s.limit = &ConnectionLimit{Limit: c.Limit, HasLinks: c.HasLinks, MaxRequestTime: c.MaxRequestTime, Budget: budget, Clock: s.manual.Clock(), ClosedFunc: func(d ClosedConnection) { s.closed = append(s.closed, d) }}
 			for i, step := range c.Steps {
 				s.run(t, fmt.Sprintf("step %d", i+1), step)
 			}
@@ -90,7 +98,7 @@
 	}
 	for closedName, conn := range s.inner {
 		wasOpen := openBefore[closedName] || closedName == step.Accept
-		require.Equal(t, closedName == step.Closed, wasOpen && conn.isClosed, "%s: %s", name, closedName)
+		require.Equal(t, closedName == step.Closed || closedName == step.End, wasOpen && conn.isClosed, "%s: %s", name, closedName)
 	}
 	if step.Held != nil {
 		require.Equal(t, *step.Held, s.limit.Budget.Held(), name)
@@ -127,6 +135,10 @@
 		s.limit.Update(s.connections[step.Idle], http.StateIdle)
 	case step.Leave != "":
 		s.limit.Update(s.connections[step.Leave], http.StateClosed)
+	case step.Heartbeat != "":
+		s.limit.RecordHeartbeat(s.connections[step.Heartbeat], step.MaxSilence)
+	case step.End != "":
+		_ = s.connections[step.End].Close()
 	case step.Write != "":
 		s.connections[step.Write].writeBegunAt.Store(int64(s.manual.Clock().Now()))
 	}
--- a/spokememory/guard.go
+++ b/spokememory/guard.go
@@ -27,6 +27,15 @@
 	// direction) and the table. Of few descriptors, it is ownReserveShare of them.
 	maxOwnReserve   = 384
 	ownReserveShare = 0.25
+	// peerShare is the part of that reserve for connections from peers: 176 of 384, of which
+	// a full mesh of 160 peers uses 160. As many are left for the links to them.
+	peerShare = 0.46
+	// smallListenerShare is the part of that reserve for each listener for probes, metrics or
+	// operators: 12 of 384. A balancer, a collector of metrics and an operator use one each
+	// at a time, on each of a few hosts.
+	smallListenerShare = 1.0 / 32
+	// minSmallListener is the least number for such a listener, where descriptors are few.
+	minSmallListener = 4
 	// callerDescriptorShare is the part of the remaining descriptors for callers. Each
 	// request may take a connection to a backend server too, and idle ones are kept.
 	callerDescriptorShare = 0.4
@@ -45,6 +54,11 @@
 	BudgetBytes int64
 	// Connections bounds callers' connections. Zero means no bound.
 	Connections int
+	// PeerConnections bounds the connections from peers. Zero means no bound.
+	PeerConnections int
+	// SmallListener bounds the connections of each listener for probes, metrics or operators.
+	// Zero means no bound.
+	SmallListener int
 }
 
 // DeriveLimits returns the bounds for a process that may use memoryBytes and
@@ -63,6 +77,8 @@
 	if limits.Connections == 0 || byDescriptors < limits.Connections {
 		limits.Connections = byDescriptors
 	}
+	limits.PeerConnections = max(1, int(peerShare*own))
+	limits.SmallListener = max(minSmallListener, int(smallListenerShare*own))
 	return limits
 }
 
@@ -74,30 +90,39 @@
 	if overrides.Connections > 0 {
 		l.Connections = overrides.Connections
 	}
+	if overrides.PeerConnections > 0 {
+		l.PeerConnections = overrides.PeerConnections
+	}
 	return l
 }
 
 // OverridesFromFlags returns the limits that flags set; zero stands for a derived one. It
 // returns an error of kind KindInvalidLimit if a flag is out of range.
-func OverridesFromFlags(budgetMegabytes, connections int) (Limits, error) {
+func OverridesFromFlags(budgetMegabytes, connections, peerConnections int) (Limits, error) {
 	if budgetMegabytes < 0 || budgetMegabytes > maxFlag {
 		return Limits{}, spokeerror.Newf("check flags", KindInvalidLimit, "--caller-memory-mb is %d; allowed: 0 to %d", budgetMegabytes, maxFlag)
 	}
 	if connections < 0 || connections > maxFlag {
 		return Limits{}, spokeerror.Newf("check flags", KindInvalidLimit, "--caller-connections is %d; allowed: 0 to %d", connections, maxFlag)
 	}
-	return Limits{BudgetBytes: int64(budgetMegabytes) << megabyteShift, Connections: connections}, nil
+	if peerConnections < 0 || peerConnections > maxFlag {
+		return Limits{}, spokeerror.Newf("check flags", KindInvalidLimit, "--peer-connections is %d; allowed: 0 to %d", peerConnections, maxFlag)
+	}
+	return Limits{BudgetBytes: int64(budgetMegabytes) << megabyteShift, Connections: connections, PeerConnections: peerConnections}, nil
 }
 
 // Guard is the bounds of a process with their metrics and log lines.
 type Guard struct {
 	// Budget bounds the bytes.
 	Budget *Budget
-	// Connections bounds the connections.
+	// Connections bounds callers' connections.
 	Connections *ConnectionLimit
+	// Peers bounds the connections from peers.
+	Peers *ConnectionLimit
 
-	set *metrics.Set
-	log zerolog.Logger
+	limits Limits
+	set    *metrics.Set
+	log    zerolog.Logger
 	// lines bounds the log lines, and suppressedCount counts those left out since the last
 	// one.
 	lines           *rate.Limiter
@@ -107,9 +132,11 @@
 
 // NewGuard returns the bounds of a process, which are counted in a set of metrics.
 func NewGuard(limits Limits, set *metrics.Set, log zerolog.Logger) *Guard {
-	g := &Guard{set: set, log: log, lines: rate.NewLimiter(logLinesPerSecond, logLinesPerSecond), counters: make(map[string]*metrics.Counter)}
+	g := &Guard{limits: limits, set: set, log: log, lines: rate.NewLimiter(logLinesPerSecond, logLinesPerSecond), counters: make(map[string]*metrics.Counter)}
 	g.Budget = &Budget{Limit: limits.BudgetBytes, DecidedFunc: g.recordDecision}
 	g.Connections = &ConnectionLimit{Limit: limits.Connections, Budget: g.Budget, ClosedFunc: g.recordClosed}
+	g.Peers = g.newListenerLimit("peers", limits.PeerConnections)
+	g.Peers.HasLinks = true
 	set.NewGauge("spoke_memory_held_bytes", func() float64 { return float64(g.Budget.Held()) })
 	set.NewGauge("spoke_memory_budget_bytes", func() float64 { return float64(limits.BudgetBytes) })
 	set.NewGauge("spoke_caller_connections", func() float64 { return float64(g.Connections.Count()) })
@@ -122,6 +149,29 @@
 	return g
 }
 
+// NewSmallListener returns the bound of a listener for probes, metrics or operators, by
+// the name that metrics and log lines give it. A request that takes longer than
+// maxRequestTime may be closed for another connection.
+func (g *Guard) NewSmallListener(name string, maxRequestTime spokeclock.Millis) *ConnectionLimit {
+	limit := g.newListenerLimit(name, g.limits.SmallListener)
+	limit.MaxRequestTime = maxRequestTime
+	return limit
+}
+
+func (g *Guard) newListenerLimit(name string, limit int) *ConnectionLimit {
+	connections := &ConnectionLimit{Limit: limit}
+	connections.ClosedFunc = func(c ClosedConnection) { g.recordListenerClosed(name, limit, c) }
+	g.set.NewGauge(`spoke_listener_connections{listener="`+name+`"}`, func() float64 { return float64(connections.Count()) })
+	for _, reason := range []CloseReason{CloseIdle, CloseSilent, CloseSlowHeaders, CloseNotRead, CloseSlowRequest, CloseNoPlace} {
+		g.addCounter(listenerCloseMetric(name, reason))
+	}
+	return connections
+}
+
+func listenerCloseMetric(name string, reason CloseReason) string {
+	return `spoke_listener_connections_closed_total{listener="` + name + `",reason="` + string(reason) + `"}`
+}
+
 func refusalMetric(kind Kind) string {
 	return `spoke_memory_refused_total{reason="` + string(kind) + `"}`
 }
@@ -155,6 +205,15 @@
 	event.Str("reason", string(c.Reason())).Int("connections", c.Count()).Int("limit", g.Connections.Limit).Int64("age_millis", int64(c.Age())).Msg("Connection of a caller was closed.")
 }
 
+func (g *Guard) recordListenerClosed(name string, limit int, c ClosedConnection) {
+	g.counters[listenerCloseMetric(name, c.Reason())].Inc()
+	event, mayLog := g.logEvent()
+	if !mayLog {
+		return
+	}
+	event.Str("listener", name).Str("reason", string(c.Reason())).Int("connections", c.Count()).Int("limit", limit).Int64("age_millis", int64(c.Age())).Msg("Connection of a listener was closed.")
+}
+
 // logEvent returns a log line, or false if there were too many.
 func (g *Guard) logEvent() (*zerolog.Event, bool) {
 	if !g.lines.Allow() {
--- a/spokepeer/conn.go
+++ b/spokepeer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,34 @@
 type countingConn struct {
 	net.Conn
 	traffic *Traffic
+
+	mutex      sync.Mutex
+	isClosed   bool
+	closedFunc func()
+}
+
+// setClosed sets the function that is called when the connection is closed, at once if it
+// has been.
+func (c *countingConn) setClosed(closedFunc func()) {
+	c.mutex.Lock()
+	c.closedFunc = closedFunc
+	isClosed := c.isClosed
+	c.mutex.Unlock()
+	if isClosed {
+		closedFunc()
+	}
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	c.mutex.Lock()
+	c.isClosed = true
+	closedFunc := c.closedFunc
+	c.mutex.Unlock()
+	if closedFunc != nil {
+		closedFunc()
+	}
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -99,6 +99,10 @@
 	BaseInterval spokeclock.Millis
 	// Listener accepts connections from peers. Run closes it.
 	Listener net.Listener
+	// LinkHeardFunc is called with an accepted connection after the hello and after each
+	// heartbeat of a peer, and with the time without a heartbeat after which the link counts
+	// as lost. It may be nil.
+	LinkHeardFunc func(conn net.Conn, maxSilence spokeclock.Millis)
 	// Log receives log messages.
 	Log zerolog.Logger
 
@@ -241,11 +245,14 @@
 // serveConn handles the messages of a connection in the background until it or
 // ctx ends.
 func (n *Node) serveConn(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(&countingConn{Conn: conn, traffic: &n.traffic}, boundedCodec{})
-	s := &session{node: n}
+	counting := &countingConn{Conn: conn, traffic: &n.traffic}
+	stream := jsonrpc2.NewBufferedStream(counting, boundedCodec{})
+	s := &session{node: n, conn: conn}
 	handler := concurrentHandler{jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()}
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(&n.Log))
-	context.AfterFunc(ctx, func() { _ = rpc.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = rpc.Close() })
+	// A closed connection must not stay reachable until the process ends.
+	counting.setClosed(func() { stop() })
 	return rpc
 }
 
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokefeed"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 	"mulberryspoke.example/mulberryspoke/spokequarantine"
@@ -16,8 +18,26 @@
 // session handles the messages received on one connection.
 type session struct {
 	node           *Node
+	conn           net.Conn
 	peer           string
 	peerGeneration int64
+	// interval is the time between two heartbeats of the peer; 0 until it is known.
+	interval spokeclock.Millis
+}
+
+const (
+	// maxSilentIntervals is the number of heartbeats that may be missing before a link
+	// counts as lost, the number after which a peer is suspected.
+	maxSilentIntervals = 5
+	// minLinkSilence is the least time for that, as an instance under load may be late.
+	minLinkSilence = 10 * spokeclock.Second
+)
+
+// recordHeard reports that a message of the peer's link was accepted.
+func (s *session) recordHeard() {
+	if s.node.LinkHeardFunc != nil {
+		s.node.LinkHeardFunc(s.conn, max(minLinkSilence, maxSilentIntervals*s.interval))
+	}
 }
 
 // concurrentHandler handles requests that wait in a goroutine each, and all other
@@ -81,6 +101,7 @@
 	}
 	s.peer = hello.Identity.Name
 	s.peerGeneration = hello.Identity.Generation
+	s.recordHeard()
 	s.node.View.MergeDataCentres(hello.DataCentres)
 	return s.node.helloMessage(), nil
 }
@@ -97,6 +118,10 @@
 	}
 	n := s.node
 	h = h.bounded()
+	if h.Interval > 0 {
+		s.interval = h.Interval
+	}
+	s.recordHeard()
 	n.View.RecordHeartbeat(s.peer, h.Revision, h.Draining, h.Interval)
 	n.View.MergeDataCentres(h.DataCentres)
 	n.Registry.UpdatePeerInFlight(s.peer, h.InFlight)
