spokeplain: long answers of plain services are charged to the budget

Cause: spokeplain, the report of an attempt's outcome and the object store read answers whole, up to 64 MB each, without a charge. 60 of them exhausted an instance of 144 MB.

Change: answers are charged to the request's reservation as they arrive. An idempotent request's answer that does not fit is forwarded with what has arrived; a part that a caller takes over 5 s for ends its connection, as the server stays occupied. A request that may run once, whose answer must be recorded whole, ends with 502 and outcome_unknown, and its server does not count as failed. Answers that wait to be recorded stay charged.

--- a/spokeclaim/claims.go
+++ b/spokeclaim/claims.go
@@ -9,6 +9,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeobject"
 	"mulberryspoke.example/mulberryspoke/spokeplain"
 	"mulberryspoke.example/mulberryspoke/spoketable"
@@ -207,11 +208,13 @@
 
 // RecordResponse records the response of the claim's attempt. It waits up to
 // recordWaitTimeout. If the response is not recorded by then, or ctx ends first,
-// it returns and recording continues in the background.
-func (c *Claim) RecordResponse(ctx context.Context, response spokeplain.Response) {
+// it returns and recording continues in the background. It calls releaseFunc once the
+// response is no longer held.
+func (c *Claim) RecordResponse(ctx context.Context, response spokeplain.Response, releaseFunc func()) {
 	finished := make(chan struct{})
 	c.claims.runInBackground(func(ctx context.Context) {
 		defer close(finished)
+		defer releaseFunc()
 		c.claims.retryUntilDone(ctx, func(ctx context.Context) bool { return c.tryRecordResponse(ctx, response) })
 	})
 	waitCtx, cancel := context.WithTimeout(ctx, recordWaitTimeout.Duration())
@@ -256,13 +259,14 @@
 }
 
 // RecordedResponse returns the recorded response of a claim in StateDone. It
-// returns an error of kind KindUnavailable if the object store cannot be read.
-func (c *Claim) RecordedResponse(ctx context.Context) (spokeplain.Response, error) {
+// returns an error of kind KindUnavailable if the object store cannot be read, or holdFunc
+// doesn't allow to hold the response.
+func (c *Claim) RecordedResponse(ctx context.Context, holdFunc spokehttp.HoldFunc) (spokeplain.Response, error) {
 	response := c.record.Response
 	if c.record.ObjectName == "" {
 		return response, nil
 	}
-	body, err := c.claims.Objects.Get(ctx, c.record.ObjectName)
+	body, err := c.claims.Objects.Get(ctx, c.record.ObjectName, holdFunc)
 	if err != nil {
 		return spokeplain.Response{}, spokeerror.New("read recorded response", KindUnavailable, err)
 	}
--- a/spokeclaim/claims_test.go
+++ b/spokeclaim/claims_test.go
@@ -71,7 +71,7 @@
 	faults := spokestandin.TableFaults{Faults: spokestandin.Faults{AbortRequests: 1, PathPrefix: "/v1/transact"}}
 	_, err = spokehttp.PostJSON[struct{}](t.Context(), server.Client(), server.URL+"/control", faults)
 	require.NoError(t, err)
-	acquired.Acquired().RecordResponse(t.Context(), spokeplain.Response{Status: http.StatusOK})
+	acquired.Acquired().RecordResponse(t.Context(), spokeplain.Response{Status: http.StatusOK}, func() {})
 	require.NoError(t, claims.WaitPending(t.Context()))
 	rows, err := table.Read(t.Context(), "row")
 	require.NoError(t, err)
--- a/spokemeasure/claim.go
+++ b/spokemeasure/claim.go
@@ -125,6 +125,6 @@
 	if err != nil || result.Acquired() == nil {
 		return false
 	}
-	result.Acquired().RecordResponse(ctx, spokeplain.Response{Status: recordedStatus})
+	result.Acquired().RecordResponse(ctx, spokeplain.Response{Status: recordedStatus}, func() {})
 	return true
 }
--- a/spokeobject/store.go
+++ b/spokeobject/store.go
@@ -9,6 +9,7 @@
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
@@ -46,9 +47,11 @@
 }
 
 // Get returns the content of an object. It returns an error of kind
-// KindUnavailable or KindNotFound.
-func (s *Store) Get(ctx context.Context, name string) ([]byte, error) {
-	return s.call(ctx, http.MethodGet, name, nil)
+// KindUnavailable, also if holdFunc doesn't allow to hold the content, or KindNotFound.
+func (s *Store) Get(ctx context.Context, name string, holdFunc spokehttp.HoldFunc) ([]byte, error) {
+	held := *s
+	held.NoKeepAliveClient = spokehttp.HoldResponses(s.NoKeepAliveClient, holdFunc, 1)
+	return held.call(ctx, http.MethodGet, name, nil)
 }
 
 // Delete removes an object. It returns an error of kind KindUnavailable.
--- a/spokeobject/store_test.go
+++ b/spokeobject/store_test.go
@@ -27,7 +27,7 @@
 		require.NoError(t, store.Put(t.Context(), name, []byte("content of "+name)))
 	}
 	for _, name := range []string{"a", "b"} {
-		content, err := store.Get(t.Context(), name)
+		content, err := store.Get(t.Context(), name, nil)
 		require.NoError(t, err)
 		require.Equal(t, "content of "+name, string(content))
 	}
--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -26,6 +27,8 @@
 	// KindSealed means that the server rejected the attempt because it was sealed
 	// before it ran.
 	KindSealed Kind = "sealed"
+	// KindNotHeld means that the response may not be held in memory. The request has run.
+	KindNotHeld Kind = "not_held"
 )
 
 const (
@@ -35,6 +38,9 @@
 	SealedHeader = "Spoke-Sealed"
 
 	maxResponseBytes = 64 << 20
+	// sealedFactor is what a byte of an attempt's report takes in memory: its text, and the
+	// decoded response.
+	sealedFactor = 2
 )
 
 // Request is a request to a plain service.
@@ -61,6 +67,36 @@
 	Body []byte `json:"body"`
 }
 
+// OpenResponse is a response of which not all need have been read. Close must be called.
+type OpenResponse struct {
+	// Response is the head, and the body as far as it is held.
+	Response
+	// IsWhole is true if the body is held whole.
+	IsWhole bool
+	// Length is the length of the whole body, or negative if it is not known.
+	Length int64
+
+	source io.ReadCloser
+}
+
+// Reader returns a reader of the whole body, which reads what is not held from the server.
+func (r OpenResponse) Reader() io.Reader {
+	return io.MultiReader(bytes.NewReader(r.Body), r.source)
+}
+
+// Whole closes the response and returns it. It returns an error of kind KindNotHeld if the
+// body is not held whole.
+func (r OpenResponse) Whole() (Response, error) {
+	defer func() { _ = r.Close() }()
+	if !r.IsWhole {
+		return Response{}, spokeerror.New("read response", KindNotHeld, spokehttp.ErrNotHeld)
+	}
+	return r.Response, nil
+}
+
+// Close closes the connection to the server unless the body has been read whole.
+func (r OpenResponse) Close() error { return r.source.Close() }
+
 // SealRequest asks for the outcome of an attempt and prevents the attempt from
 // running later if it has not run yet.
 type SealRequest struct {
@@ -94,16 +130,28 @@
 	// when a reused connection turns out to be closed, and a reused connection may
 	// hold a late copy of an earlier response.
 	HTTPClient *http.Client
+	// HoldFunc asks whether a response may be held. Nil means that it may.
+	HoldFunc spokehttp.HoldFunc
 }
 
-// Send sends a request once. It returns an error of kind KindNotSent,
-// KindOutcomeUnknown, KindWrongAttempt or KindSealed.
+// Send sends a request once and reads the whole response. It returns an error of kind
+// KindNotSent, KindOutcomeUnknown, KindWrongAttempt, KindSealed or KindNotHeld.
 func (c *Client) Send(ctx context.Context, request Request) (Response, error) {
+	response, err := c.Open(ctx, request)
+	if err != nil {
+		return Response{}, err
+	}
+	return response.Whole()
+}
+
+// Open sends a request once and reads the response as far as it may be held. Its errors
+// are those of Send but for KindNotHeld. The connection ends with ctx.
+func (c *Client) Open(ctx context.Context, request Request) (OpenResponse, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, c.URL+request.Path, bytes.NewReader(request.Body))
 	if err != nil {
-		return Response{}, spokeerror.New("send", KindNotSent, err)
+		return OpenResponse{}, spokeerror.New("send", KindNotSent, err)
 	}
 	if request.ContentType != "" {
 		outgoing.Header.Set("Content-Type", request.ContentType)
@@ -112,17 +160,29 @@
 	spoketrace.Inject(ctx, outgoing.Header)
 	response, err := c.HTTPClient.Do(outgoing)
 	if err != nil {
-		return Response{}, spokeerror.New("send", failureKind(err, connected.Load()), err)
+		return OpenResponse{}, spokeerror.New("send", failureKind(err, connected.Load()), err)
+	}
+	opened, err := c.readStart(request, response)
+	if err != nil {
+		_ = response.Body.Close()
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	return opened, err
+}
+
+// readStart reads a response as far as it may be held.
+func (c *Client) readStart(request Request, response *http.Response) (OpenResponse, error) {
+	body, isWhole, err := spokehttp.ReadHeld(response.Body, response.ContentLength, maxResponseBytes, c.HoldFunc)
 	if err != nil {
-		return Response{}, spokeerror.New("send", KindOutcomeUnknown, err)
+		return OpenResponse{}, spokeerror.New("send", KindOutcomeUnknown, err)
 	}
 	if len(body) > maxResponseBytes {
-		return Response{}, spokeerror.Newf("send", KindOutcomeUnknown, "the response is longer than %d bytes", maxResponseBytes)
+		return OpenResponse{}, spokeerror.Newf("send", KindOutcomeUnknown, "the response is longer than %d bytes", maxResponseBytes)
 	}
-	return checkResponse(request, response, body)
+	checked, err := checkResponse(request, response, body)
+	if err != nil {
+		return OpenResponse{}, err
+	}
+	return OpenResponse{Response: checked, IsWhole: isWhole, Length: response.ContentLength, source: response.Body}, nil
 }
 
 // checkResponse returns the response if it belongs to the request's attempt and
@@ -154,9 +214,13 @@
 
 // SealAttempt asks for the outcome of an attempt. If the server reports that the
 // attempt has not started, this run of it never ran it and never will. It returns an error of kind
-// KindOutcomeUnknown or, if the report does not name the attempt, KindWrongAttempt.
+// KindOutcomeUnknown, KindNotHeld or, if the report does not name the attempt, KindWrongAttempt.
 func (c *Client) SealAttempt(ctx context.Context, attemptID string) (AttemptReport, error) {
-	report, err := spokehttp.PostJSON[AttemptReport](ctx, c.HTTPClient, c.URL+"/v1/attempts/seal", SealRequest{AttemptID: attemptID})
+	client := spokehttp.HoldResponses(c.HTTPClient, c.HoldFunc, sealedFactor)
+	report, err := spokehttp.PostJSON[AttemptReport](ctx, client, c.URL+"/v1/attempts/seal", SealRequest{AttemptID: attemptID})
+	if errors.Is(err, spokehttp.ErrNotHeld) {
+		return AttemptReport{}, spokeerror.New("seal attempt", KindNotHeld, err)
+	}
 	if err != nil {
 		return AttemptReport{}, spokeerror.New("seal attempt", KindOutcomeUnknown, err)
 	}
--- a/spokeserve/once.go
+++ b/spokeserve/once.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 
 	"mulberryspoke.example/mulberryspoke/gen/types"
 	"mulberryspoke.example/mulberryspoke/spokeclaim"
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeplain"
 )
 
@@ -42,6 +44,9 @@
 	keyClaimed bool
 	// refusal is the final refusal, or nil.
 	refusal *types.Refusal
+	// isNotHeld is true if the response to an attempt that ran does not fit into the memory
+	// for requests.
+	isNotHeld bool
 }
 
 // sendClaimed sends a request that may run at most once. It claims the idempotency
@@ -81,6 +86,13 @@
 	return spokeerror.New("claim request", spokecore.KindNoAnswer, c.claim.refusal)
 }
 
+// endNotHeld sets the refusal of a request that has run and whose response does not fit into
+// the memory for requests. The error has no kind, as the server is not at fault.
+func (c *call) endNotHeld() error {
+	c.claim.refusal = refuseOutcomeUnknown(KindServerFailed, longRetryAfter, "the request may have run; there is no memory for its answer now; a repeat with the same key does not run it again")
+	return c.claim.refusal
+}
+
 func (c *call) newRecord(attempt spokecore.Attempt) spokeclaim.Record {
 	return spokeclaim.Record{
 		AttemptID:        newID(),
@@ -124,7 +136,7 @@
 	switch {
 	case err == nil:
 		c.claim.unsent = nil
-		claim.RecordResponse(ctx, response)
+		claim.RecordResponse(ctx, response, c.details.retain())
 		return newResponse(response), nil
 	case spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindNotSent:
 		return nil, spokeerror.New("send attempt", spokecore.KindNotSent, err)
@@ -132,6 +144,10 @@
 		c.claim.unsent = nil
 		claim.Abandon()
 		return nil, c.endOutcomeUnknown(KindOutcomeUnknown, shortRetryAfter, "another attempt has taken over; repeat with the same key")
+	case spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindNotHeld:
+		c.claim.unsent = nil
+		claim.Abandon()
+		return nil, c.endNotHeld()
 	default:
 		c.claim.unsent = nil
 		return c.resolveOutcome(ctx, claim)
@@ -152,6 +168,9 @@
 func (c *call) resolveOutcome(ctx context.Context, claim *spokeclaim.Claim) (*spokecore.Response, error) {
 	report, known := c.sealAttempt(ctx, claim.Record())
 	switch {
+	case c.claim.isNotHeld:
+		claim.Abandon()
+		return nil, c.endNotHeld()
 	case !known || (report.Started && !report.Finished):
 		claim.Abandon()
 		return nil, c.endOutcomeUnknown(KindOutcomeUnknown, shortRetryAfter, outcomeUnknownMessage)
@@ -159,7 +178,7 @@
 		claim.Release()
 		return nil, c.endNotSent(refuse(KindServerFailed, shortRetryAfter, "the backend server was cut off before the request ran"))
 	default:
-		claim.RecordResponse(ctx, report.Response)
+		claim.RecordResponse(ctx, report.Response, c.details.retain())
 		return newResponse(report.Response), nil
 	}
 }
@@ -172,15 +191,17 @@
 	if !c.access.service.ReportsOutcomes || !found {
 		return spokeplain.AttemptReport{}, false
 	}
-	server := spokeplain.Client{URL: "http://" + instance.Address, HTTPClient: c.server.NoKeepAliveClient}
+	server := spokeplain.Client{URL: "http://" + instance.Address, HTTPClient: c.server.NoKeepAliveClient, HoldFunc: c.holdFunc}
 	giveUpAt := c.server.Clock.Now() + sealWaitTimeout
 	for {
 		report, err := trySeal(ctx, server, record.AttemptID)
 		if spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindWrongAttempt {
 			c.server.Counters.foreignEvents.Inc()
 		}
+		// A further report would not fit either.
+		c.claim.isNotHeld = spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindNotHeld
 		decided := err == nil && (!report.Started || report.Finished)
-		if decided || c.server.Clock.Now() > giveUpAt || spokeclock.Sleep(ctx, sealInterval) != nil {
+		if decided || c.claim.isNotHeld || c.server.Clock.Now() > giveUpAt || spokeclock.Sleep(ctx, sealInterval) != nil {
 			return report, err == nil && (report.Started || isOfClaimedServer(report, record))
 		}
 	}
@@ -215,12 +236,14 @@
 	}
 	report, known := c.sealAttempt(ctx, claim.Record())
 	switch {
+	case c.claim.isNotHeld:
+		return nil, c.endNotHeld()
 	case !known || (report.Started && !report.Finished):
 		return nil, c.endOutcomeUnknown(KindOutcomeUnknown, longRetryAfter, outcomeUnknownMessage)
 	case !report.Started:
 		return c.replaceClaim(ctx, claim, attempt)
 	default:
-		claim.RecordResponse(ctx, report.Response)
+		claim.RecordResponse(ctx, report.Response, c.details.retain())
 		return c.replayResponse(report.Response), nil
 	}
 }
@@ -235,7 +258,10 @@
 
 // replayRecord returns the recorded response of a claim.
 func (c *call) replayRecord(ctx context.Context, claim *spokeclaim.Claim) (*spokecore.Response, error) {
-	response, err := claim.RecordedResponse(ctx)
+	response, err := claim.RecordedResponse(ctx, c.holdFunc)
+	if errors.Is(err, spokehttp.ErrNotHeld) {
+		return nil, c.endNotHeld()
+	}
 	if err != nil {
 		return nil, c.endOutcomeUnknown(KindClaimsUnavailable, shortRetryAfter, "the request ran, but its recorded answer cannot be read now")
 	}
--- a/spokeserve/plain.go
+++ b/spokeserve/plain.go
@@ -13,6 +13,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeplain"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
@@ -31,6 +32,9 @@
 	// response is the response that the core forwarded.
 	response spokeplain.Response
 	claim    claimState
+	details  *requestDetails
+	// holdFunc charges the bytes of the answer to the request\'s reservation.
+	holdFunc spokehttp.HoldFunc
 }
 
 // Call implements the plain service of the API.
@@ -42,7 +46,12 @@
 		s.countRefusal(payload.Service, refusal)
 		return nil, nil, refusal
 	}
-	if refusal := c.serve(ctx, "/"+payload.Path); refusal != nil {
+	refusal = c.serve(ctx, "/"+payload.Path)
+	if c.details.isForwarded {
+		c.details.endForwarding(refusal == nil)
+		return &plain.CallResult{}, http.NoBody, nil
+	}
+	if refusal != nil {
 		return nil, nil, refusal
 	}
 	setStatus(ctx, c.response.Status)
@@ -64,7 +73,7 @@
 	if !valid {
 		return nil, refuse(KindMalformedRequest, longRetryAfter, "the path has empty, . or .. segments")
 	}
-	c := &call{server: s, access: a, request: spokeplain.Request{
+	c := &call{server: s, access: a, details: details, holdFunc: details.reservation.HoldAnswer, request: spokeplain.Request{
 		Method:      details.method,
 		Path:        target,
 		ContentType: details.contentType,
@@ -92,15 +101,32 @@
 	c.coreRequest = c.access.request(newID(), route, c.server.Clock.Now()+service.Timeout)
 	err := c.server.Core.Serve(ctx, c.coreRequest, spokecore.Callbacks{
 		SendAttemptFunc: send,
-		WriteHeadFunc: func(response *spokecore.Response, _ int64) {
-			c.response = response.Head.(spokeplain.Response)
-		},
-		WriteBodyFunc: func([]byte) error { return nil },
+		WriteHeadFunc:   c.writeHead,
+		WriteBodyFunc:   c.writePart,
+		HoldFunc:        c.holdFunc,
 	})
 	c.releaseUnsent()
 	return c.refusalFor(err)
 }
 
+// writeHead keeps a whole response for the end of the request, and begins to forward one
+// that did not fit.
+func (c *call) writeHead(response *spokecore.Response, _ int64) {
+	if opened, isOpen := response.Head.(spokeplain.OpenResponse); isOpen {
+		c.details.beginForwarding(opened)
+		return
+	}
+	c.response = response.Head.(spokeplain.Response)
+}
+
+// writePart forwards a part of a response that did not fit.
+func (c *call) writePart(part []byte) error {
+	if !c.details.isForwarded {
+		return nil
+	}
+	return c.details.forward(part, c.coreRequest.Deadline-c.server.Clock.Now())
+}
+
 // refusalFor returns the refusal of a request that the core could not complete.
 func (c *call) refusalFor(err error) *types.Refusal {
 	var refusal *spokecore.Refusal
@@ -124,11 +150,21 @@
 
 // sendIdempotent sends a request that may run more than once.
 func (c *call) sendIdempotent(ctx context.Context, attempt spokecore.Attempt) (*spokecore.Response, error) {
-	response, err := c.send(ctx, attempt, newID(), c.server.Client)
+	response, err := c.open(ctx, attempt, newID(), c.server.Client)
 	if err != nil {
 		return nil, spokeerror.New("send attempt", coreKind(err), err)
 	}
-	return newResponse(response), nil
+	if response.IsWhole {
+		whole, err := response.Whole()
+		return newResponse(whole), err
+	}
+	return &spokecore.Response{Head: response, Body: openBody{Reader: response.Reader(), Closer: response}}, nil
+}
+
+// openBody is the body of a response that has not been read whole.
+type openBody struct {
+	io.Reader
+	io.Closer
 }
 
 func newResponse(response spokeplain.Response) *spokecore.Response {
@@ -147,14 +183,23 @@
 	}
 }
 
-// send sends the request once to a server.
+// send sends the request once to a server and reads the whole response.
 func (c *call) send(ctx context.Context, attempt spokecore.Attempt, attemptID string, client *http.Client) (spokeplain.Response, error) {
+	response, err := c.open(ctx, attempt, attemptID, client)
+	if err != nil {
+		return spokeplain.Response{}, err
+	}
+	return response.Whole()
+}
+
+// open sends the request once to a server and reads the response as far as it may be held.
+func (c *call) open(ctx context.Context, attempt spokecore.Attempt, attemptID string, client *http.Client) (spokeplain.OpenResponse, error) {
 	ctx, span := spoketrace.StartSpan(ctx, "backend server call")
 	span.SetAttribute("server", attempt.Server.Name)
 	request := c.request
 	request.AttemptID = attemptID
-	server := spokeplain.Client{URL: "http://" + attempt.Server.Address, HTTPClient: client}
-	response, err := server.Send(ctx, request)
+	server := spokeplain.Client{URL: "http://" + attempt.Server.Address, HTTPClient: client, HoldFunc: c.holdFunc}
+	response, err := server.Open(ctx, request)
 	span.End(err)
 	if spokeerror.KindOf[spokeplain.Kind](err) == spokeplain.KindWrongAttempt {
 		c.server.Counters.foreignEvents.Inc()
--- a/spokeserve/requestdetails.go
+++ b/spokeserve/requestdetails.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"net/url"
 	"path"
+	"strconv"
+	"sync/atomic"
 	"time"
 
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokememory"
+	"mulberryspoke.example/mulberryspoke/spokeplain"
 	"mulberryspoke.example/mulberryspoke/spoketrace"
 )
 
@@ -23,7 +27,11 @@
 	contentLength int64
 	// reservation is what the request holds, from the reading of its body.
 	reservation *spokememory.Reservation
+	// holderCount is the number of those that need the reservation after the request's end.
+	holderCount atomic.Int32
 	writer      http.ResponseWriter
+	// isForwarded is true once the response has been begun from a part of the answer.
+	isForwarded bool
 }
 
 type requestDetailsKey struct{}
@@ -51,13 +59,53 @@
 	return details
 }
 
-// release returns the bytes that the request holds.
+// release returns the bytes that the request holds, once the last holder has released them.
 func (d *requestDetails) release() {
-	if d.reservation != nil {
+	if d.holderCount.Add(-1) < 0 && d.reservation != nil {
 		d.reservation.Release()
 	}
 }
 
+// retain keeps the bytes that the request holds until the returned function is called, also
+// after the end of the request.
+func (d *requestDetails) retain() func() {
+	d.holderCount.Add(1)
+	return d.release
+}
+
+// maxForwardingStall bounds the writing of one part of an answer that is forwarded as it
+// comes, as its server is occupied until all of it is written. A part has up to 256 KB, so
+// that callers who read at 52 KB/s keep their connection.
+const maxForwardingStall = 5 * spokeclock.Second
+
+// beginForwarding writes the head of an answer that is forwarded as it comes.
+func (d *requestDetails) beginForwarding(response spokeplain.OpenResponse) {
+	d.isForwarded = true
+	d.writer.Header().Set("Content-Type", response.ContentType)
+	if response.Length >= 0 {
+		d.writer.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	}
+	d.writer.WriteHeader(response.Status)
+}
+
+// forward writes a part of an answer that is forwarded as it comes, at most for timeLeft.
+func (d *requestDetails) forward(part []byte, timeLeft spokeclock.Millis) error {
+	deadline := time.Now().Add(min(timeLeft, maxForwardingStall).Duration())
+	_ = http.NewResponseController(d.writer).SetWriteDeadline(deadline)
+	_, err := d.writer.Write(part)
+	return err
+}
+
+// endForwarding ends an answer that was forwarded as it came. One that is not whole is
+// aborted, so that the caller does not take it for complete.
+func (d *requestDetails) endForwarding(isWhole bool) {
+	if !isWhole {
+		panic(http.ErrAbortHandler)
+	}
+	// The deadline would also end the next request of the connection.
+	_ = http.NewResponseController(d.writer).SetWriteDeadline(time.Time{})
+}
+
 // closeAfterResponse closes the connection after the response, as the rest of the body
 // would have to be read otherwise.
 func (d *requestDetails) closeAfterResponse() {
@@ -91,8 +139,11 @@
 }
 
 // WriteHeader writes the backend server's status if it is set and status is 200, and
-// status otherwise.
+// status otherwise. It writes nothing if the response has been begun.
 func (w *statusWriter) WriteHeader(status int) {
+	if w.details.isForwarded {
+		return
+	}
 	if status == http.StatusOK && w.details.responseStatus != 0 {
 		status = w.details.responseStatus
 	}
