spokeentry: readiness probes at the operators' listener do not wait for 10 s

Cause: commands that stop short kept all 12 places of the operators' listener for 10 s, in which no readiness probe there was answered.

Change: a command's connection may be closed for another one after 2 s, as that of a probe.

Conclusion: a probe competes with a flood of its own listener only, for 2 s.

--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -41,8 +41,9 @@
 	pruneInterval     = 60 * spokeclock.Second
 	headerTimeout     = 2 * spokeclock.Second
 	// maxCommandTime is the time after which the connection of an operator's command may be
-	// closed for another one. Commands write a few rows of the table, whose calls end sooner.
-	maxCommandTime = 10 * spokeclock.Second
+	// closed for another one. Commands write a few rows of the table. With 10 s, readiness
+	// probes at this listener waited that long while commands that stop short took all places.
+	maxCommandTime = 2 * spokeclock.Second
 	// maxOperatorHeaderBytes is far above the headers of operators, probes and readers of
 	// metrics.
 	maxOperatorHeaderBytes = 64 << 10
