spokerollout: a rollout that is ordered again follows the newer status row

Cause: an instance that starts between a repeated order and its first status row reads the final row of the earlier rollout and takes it as binding for good. It also told its peers the old verdict under the key of the new order, so that one such instance rolled the new rollout back everywhere. An instance that reads the removal and the new order at once had the same fault.

Change: a rollout remembers the row that ended it, with the era of the read. A row "running" of the same era with a higher version begins it again; rows that a restore of the table brings back never do, and a different final state binds only if its row is newer. While the row that binds is older than the order's row, the instance tells no verdict. A new counter tells that an instance has seen the order begin, so that a holder of the lease that has just started learns it and writes the status. Peers' counts from before the earlier final row are of the earlier order.

Conclusion: a good version that is ordered again succeeds although an instance starts in between.

--- a/spokerollout/answers.go
+++ b/spokerollout/answers.go
@@ -118,7 +118,7 @@
 	now := r.Clock.Now()
 	for _, source := range r.told.sources {
 		for id, told := range source.orders {
-			if id.service == running.key.service && id.to == running.key.to && told.isLive(now) && !r.ended[id] {
+			if r.isSameOrder(running, id) && told.isLive(now) {
 				same[id] = true
 			}
 		}
@@ -126,6 +126,13 @@
 	return same
 }
 
+// isSameOrder reports whether a peer may mean the same order by a key. One from before the
+// prior final status is of an earlier order.
+func (r *Rollouts) isSameOrder(running *rollout, id orderKey) bool {
+	isEarlier := running.hasPrior && running.prior.State.isFinal() && running.prior.To == id.to && id.epoch < running.prior.Version
+	return id.service == running.key.service && id.to == running.key.to && !isEarlier && !r.ended[id]
+}
+
 // maxAgeAfterLimit is the time after an order's limit for which its age is still told.
 const maxAgeAfterLimit = 20 * spokeclock.Second
 
@@ -154,11 +161,15 @@
 		// Rounded down, so that instances can't make an order older by telling each other.
 		counts[prefix+countAge] = int64(age / ageUnit)
 		counts[prefix+countReporters] = 1
-		if running.state == StateRolledBack {
+		switch {
+		case running.isUncertain():
+			// Peers may have seen the version ordered again.
+		case running.state == StateRolledBack:
 			counts[prefix+countBad] = 1
-		}
-		if running.state == StateSucceeded {
+		case running.state == StateSucceeded:
 			counts[prefix+countDone] = 1
+		case running.isNew:
+			counts[prefix+countNew] = 1
 		}
 		for cell, count := range running.cells {
 			counts[prefix+cell.String()] = count
--- a/spokerollout/check.go
+++ b/spokerollout/check.go
@@ -26,6 +26,7 @@
 	defer r.mutex.Unlock()
 	r.initialise()
 	for _, running := range r.rollouts {
+		r.learnNew(running)
 		r.learnAge(running)
 		if running.isLost && r.Clock.Now()-running.startedAt >= running.order.TimeLimit {
 			delete(r.rollouts, running.key.service)
@@ -41,12 +42,27 @@
 	r.updateRules()
 }
 
+// learnNew begins again with an order that peers have seen begin after the status row that
+// has ended it here. Otherwise a holder of the lease that is bound by that row would write
+// nothing.
+func (r *Rollouts) learnNew(running *rollout) {
+	if !running.isUncertain() {
+		return
+	}
+	for _, source := range r.told.sources {
+		if told := source.orders[running.key]; told != nil && told.seenNew > 0 {
+			r.reopen(running, "a peer has seen the version ordered again")
+			return
+		}
+	}
+}
+
 // learnAge takes over the age of an order from peers that know it for longer.
 func (r *Rollouts) learnAge(running *rollout) {
 	now := r.Clock.Now()
 	for _, source := range r.told.sources {
 		for id, told := range source.orders {
-			if id.service == running.key.service && id.to == running.key.to && told.isLive(now) && !r.ended[id] {
+			if r.isSameOrder(running, id) && told.isLive(now) {
 				running.startedAt = min(running.startedAt, told.ageSeenAt-told.orderAge())
 			}
 		}
--- a/spokerollout/evidence.go
+++ b/spokerollout/evidence.go
@@ -39,6 +39,9 @@
 	countBad = "bad"
 	// countDone is one for each instance that has read that the rollout has succeeded.
 	countDone = "done"
+	// countNew is one for each instance that runs the rollout and has seen that the version
+	// was not ordered before.
+	countNew = "new"
 )
 
 // ageUnit is the unit of the age of orders in counters.
@@ -123,6 +126,7 @@
 	reporters int64
 	bad       int64
 	done      int64
+	seenNew   int64
 }
 
 // evidenceStore has what all sources have told, and the sums of it, so that a look at the
@@ -193,6 +197,8 @@
 		e.bad = count
 	case countDone:
 		e.done = count
+	case countNew:
+		e.seenNew = count
 	default:
 		cell, isCell := parseCellKey(name)
 		if !isCell {
--- a/spokerollout/order.go
+++ b/spokerollout/order.go
@@ -48,6 +48,9 @@
 	// assigns later versions again, so that it identifies a change only together with the
 	// content.
 	Version spoketable.Version
+	// Era is the table's era when the row was read. Versions of different eras can't be
+	// compared.
+	Era spoketable.Era
 }
 
 // Decision is a change in the state of a rollout, for logs.
--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -52,10 +52,11 @@
 	rules atomic.Pointer[map[string]rule]
 
 	mutex sync.Mutex
-	// hasOrders is whether the orders have been read since the start.
-	hasOrders bool
-	rollouts  map[string]*rollout
-	statuses  map[string]StatusRow
+	// hasOrders is whether the orders have been read since the start, hasStatuses whether
+	// the status rows have.
+	hasOrders, hasStatuses bool
+	rollouts               map[string]*rollout
+	statuses               map[string]StatusRow
 	// barred are versions that were found bad, by service, until an order names them.
 	barred map[string]map[string]orderKey
 	// cleared are orders whose version has succeeded later, so that what peers told of them
@@ -108,9 +109,15 @@
 	// isLost is set if a restore of the table has lost the order, which holds until its
 	// time limit.
 	isLost bool
+	// readAt is when the newest version of the order's row was read.
+	readAt spokeclock.Millis
+	// isNew is whether the order was not there before, so that it is no repeated one.
+	isNew bool
 	// prior is the status row from before the order. It doesn't bind this one.
 	prior    StatusRow
 	hasPrior bool
+	// bound is the final status row that ended the rollout.
+	bound StatusRow
 	// cells is this instance's own evidence.
 	cells map[cellKey]int64
 }
@@ -157,10 +164,16 @@
 		known.isLost = !isOrdered && (isRestored || known.isLost) && now-known.startedAt < known.order.TimeLimit
 		switch {
 		case isOrdered && order.To == known.order.To:
-			known.order.TimeLimit = order.TimeLimit
+			if order.Version != known.order.Version {
+				known.readAt = now
+			}
+			known.order = order
 		case !known.isLost:
 			delete(r.rollouts, service)
 			r.recordEnd(known)
+			if known.state == StateRolledBack {
+				r.bar(known.key)
+			}
 			r.report(known, "the order was withdrawn or replaced")
 		}
 	}
@@ -200,15 +213,17 @@
 	now := r.Clock.Now()
 	started := &rollout{
 		key: orderKey{service: service, to: order.To, epoch: order.Version}, order: order, startedAt: now, state: StateRunning,
-		stageAt: now, cells: make(map[cellKey]int64),
+		stageAt: now, readAt: now, isNew: r.hasOrders, cells: make(map[cellKey]int64),
 	}
-	if r.hasOrders {
-		started.prior, started.hasPrior = r.statuses[service], true
+	if started.isNew {
+		started.prior, started.hasPrior = r.statuses[service], r.hasStatuses
 		delete(r.barred[service], order.To)
 	}
 	r.rollouts[service] = started
 	r.report(started, "the order was read")
-	r.applyStatus(started)
+	if r.hasStatuses {
+		r.applyStatus(started)
+	}
 }
 
 // SetStatuses replaces the status rows, by service.
@@ -216,6 +231,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.initialise()
+	r.hasStatuses = true
 	clear(r.statuses)
 	maps.Copy(r.statuses, statuses)
 	for _, running := range r.rollouts {
@@ -224,25 +240,75 @@
 	r.updateRules()
 }
 
-// applyStatus takes over a final state that another instance has written.
+// applyStatus takes over a final state that another instance has written, or begins again
+// if another instance has begun a later rollout of the version.
 func (r *Rollouts) applyStatus(running *rollout) {
 	row := r.statuses[running.key.service]
+	if running.isNew && !running.hasPrior && row.Version < running.order.Version {
+		// The first read of the status rows came after that of the order.
+		running.prior, running.hasPrior = row, true
+	}
+	if running.isReopenedBy(row) {
+		r.reopen(running, "a later status row says that the version was ordered again")
+		return
+	}
 	if !r.binds(running, row) {
 		return
 	}
-	running.isWritten = true
+	running.isWritten, running.bound = true, row
 	if running.state != row.State {
 		r.conclude(running, row.State, "the status row says so")
 	}
 }
 
-// binds reports whether a status row has the final state of a rollout.
+// binds reports whether a status row has the final state of a rollout. A row with another
+// final state than the one that has ended it must be newer, as a restore brings back older
+// rows.
 func (*Rollouts) binds(running *rollout, row StatusRow) bool {
-	return row.To == running.order.To && row.State.isFinal() && !running.isPrior(row)
+	isFinal := row.To == running.order.To && row.State.isFinal() && !running.isPrior(row)
+	return isFinal && (running.bound.State == "" || row.State == running.bound.State || row.isLaterThan(running.bound))
 }
 
-// isPrior reports whether a status row is from before the order.
-func (r *rollout) isPrior(row StatusRow) bool { return r.hasPrior && r.prior == row }
+// isLaterThan reports whether a row was certainly written after another one.
+func (row StatusRow) isLaterThan(other StatusRow) bool {
+	return row.Era == other.Era && row.Version > other.Version
+}
+
+// isPrior reports whether a status row is from before the order. A restore of the table may
+// bring it back in a later era.
+func (r *rollout) isPrior(row StatusRow) bool {
+	return r.hasPrior && r.prior.Status == row.Status && r.prior.Version == row.Version
+}
+
+// isReopenedBy reports whether a status row tells that the version was ordered again after
+// the row that has ended the rollout: a final row is only replaced for another order.
+func (r *rollout) isReopenedBy(row StatusRow) bool {
+	return r.state.isFinal() && r.bound.State != "" && row.State == StateRunning && row.To == r.order.To && row.isLaterThan(r.bound)
+}
+
+// isUncertain reports whether the rollout was ended by a status row that may be of an
+// earlier order of the version: it is older than the order's row, which an instance that has
+// just started can't tell from an order that was written twice.
+func (r *rollout) isUncertain() bool {
+	return !r.isNew && r.state.isFinal() && r.bound.State != "" && r.bound.Version < r.key.epoch
+}
+
+// reopen begins with an order that was taken for an earlier one of the same version.
+func (r *Rollouts) reopen(running *rollout, reason string) {
+	key := running.key
+	if !running.isUncertain() {
+		// The order's new row may be read only after the status row.
+		r.recordEnd(running)
+		key.epoch = max(running.order.Version, running.bound.Version+1)
+	}
+	*running = rollout{
+		key: key, order: running.order, startedAt: running.readAt, readAt: running.readAt, state: StateRunning, stageAt: r.Clock.Now(),
+		isNew: true, prior: running.bound, hasPrior: true, cells: make(map[cellKey]int64),
+	}
+	delete(r.barred[key.service], key.to)
+	r.counts = nil
+	r.report(running, reason)
+}
 
 // wanted returns what the status row should say.
 func (r *rollout) wanted() Status {
@@ -261,12 +327,13 @@
 func (r *Rollouts) conclude(running *rollout, state State, reason string) {
 	running.state, running.decidedAt = state, r.Clock.Now()
 	r.counts = nil
-	if state == StateRolledBack {
-		r.bar(running.key)
-	} else {
+	switch {
+	case state == StateSucceeded:
 		running.stage = stageAll
 		delete(r.barred[running.key.service], running.order.To)
 		r.clearVersion(running)
+	case !running.isUncertain():
+		r.bar(running.key)
 	}
 	r.report(running, reason)
 }
@@ -373,8 +440,12 @@
 	if row := r.statuses[service]; row.State == StateRolledBack {
 		versions[row.To] = true
 	}
-	if running := r.rollouts[service]; running != nil && running.state != StateRolledBack {
-		delete(versions, running.order.To)
+	if running := r.rollouts[service]; running != nil {
+		if running.state == StateRolledBack {
+			versions[running.order.To] = true
+		} else {
+			delete(versions, running.order.To)
+		}
 	}
 	return slices.Sorted(maps.Keys(versions))
 }
--- a/spokerollout/rollouts_test.go
+++ b/spokerollout/rollouts_test.go
@@ -51,6 +51,7 @@
 	State   State              `yaml:"state"`
 	To      string             `yaml:"to"`
 	Version spoketable.Version `yaml:"version"`
+	Era     spoketable.Era     `yaml:"era"`
 }
 
 type rolloutAnswers struct {
@@ -157,7 +158,7 @@
 	}
 	instance := s.instances[name]
 	if step.Status != nil {
-		s.rows[name] = StatusRow{Status: Status{State: step.Status.State, To: step.Status.To}, Version: step.Status.Version}
+		s.rows[name] = StatusRow{Status: Status{State: step.Status.State, To: step.Status.To}, Version: step.Status.Version, Era: step.Status.Era}
 		instance.SetStatuses(map[string]StatusRow{simulatedService: s.rows[name]})
 	}
 	if step.NoStatus {
