spokerollout: the share goes to few servers, so that they are as busy as old ones

Cause: the share of a new version was spread over all of its servers, none of which was as busy as an old one. A version that is bad only under load looked good until all traffic went to it.

Change: before the last stage the share goes to so few of the new servers that each gets about as many requests for its slots as an old server does, at least two. They are the first ones by a hash of service, version and server name (rendezvous hashing); servers that can't be used are replaced by the next in rank. The request's rule is built once for a look at its candidates, also where an answer may move to a free server.

--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -252,8 +252,9 @@
 // that is open to long answers.
 func (r *requestRun) chooseServer(applyLongShare bool) spokeroute.Decision {
 	c, s := r.core, r.service
-	candidates := r.filterVersions(c.Registry.Candidates(r.request.Service.Name, s.prefixLocations.Server(r.prefixKey)))
+	candidates := c.Registry.Candidates(r.request.Service.Name, s.prefixLocations.Server(r.prefixKey))
 	c.markUnreachable(candidates)
+	candidates = r.filterVersions(candidates)
 	entryInstances := c.memberCount()
 	routeRequest := spokeroute.Request{
 		LongAnswer: applyLongShare, TriedServers: r.triedServers, PromptTokens: r.request.PromptTokens, SharedPrefixTokens: r.sharedPrefixTokens, PrefixKey: r.prefixKey, EntryInstances: entryInstances,
--- a/spokecore/move.go
+++ b/spokecore/move.go
@@ -94,10 +94,14 @@
 // the request immediately.
 func (r *requestRun) hasFreeServer(current string) bool {
 	version := r.softwareVersion.Load()
-	for _, c := range r.core.Registry.Candidates(r.request.Service.Name, "") {
-		isUsable := !c.Draining && !c.Suspended && !c.Throttled && c.Name != current && (version == nil || c.SoftwareVersion == *version)
+	candidates := r.core.Registry.Candidates(r.request.Service.Name, "")
+	if rule, isInForce := r.versionRule(""); isInForce {
 		// Servers that a rollout keeps the request from are idle, but not free.
-		if isUsable && r.mayServe(c.SoftwareVersion) && c.InFlight < c.Slots && c.Slowness < maxTargetSlowness {
+		candidates = rule.inSubset(rule.allowed(candidates), candidates, nil)
+	}
+	for _, c := range candidates {
+		isUsable := !c.Draining && !c.Suspended && !c.Throttled && c.Name != current && (version == nil || c.SoftwareVersion == *version)
+		if isUsable && c.InFlight < c.Slots && c.Slowness < maxTargetSlowness {
 			return true
 		}
 	}
--- a/spokecore/rollout.go
+++ b/spokecore/rollout.go
@@ -12,46 +12,84 @@
 	"mulberryspoke.example/mulberryspoke/spokeroute"
 )
 
+// versionRule says which servers may serve a request while a new software version is rolled
+// out.
+type versionRule struct {
+	filter spokerollout.Filter
+	// hasBegun is whether the request is a stream that goes on. It stays at its version,
+	// unless that is barred.
+	hasBegun bool
+}
+
+// versionRule returns the rule for the request, or false if there is none. It is safe for use
+// by the watchdog.
+func (r *requestRun) versionRule(failedVersion string) (versionRule, bool) {
+	if r.core.FilterVersionsFunc == nil {
+		return versionRule{}, false
+	}
+	rule := versionRule{filter: r.core.FilterVersionsFunc(r.request.Service.Name, r.versionDraw, failedVersion), hasBegun: r.softwareVersion.Load() != nil}
+	return rule, !rule.filter.IsEmpty()
+}
+
+// allowed returns the candidates of the versions that should serve the request.
+func (v versionRule) allowed(candidates []spokeroute.Candidate) []spokeroute.Candidate {
+	allowsFunc := v.filter.Allows
+	if v.hasBegun {
+		allowsFunc = v.filter.AllowsInstead
+	}
+	return keepCandidates(candidates, func(c spokeroute.Candidate) bool { return allowsFunc(c.SoftwareVersion) })
+}
+
+// inSubset leaves out servers of the ordered version that don't get its share at this moment.
+// Servers among all candidates that can't get the request now are replaced by others.
+func (v versionRule) inSubset(kept, all []spokeroute.Candidate, tried []string) []spokeroute.Candidate {
+	isLimited := func(c spokeroute.Candidate) bool { return v.filter.LimitsServers(c.SoftwareVersion) }
+	if !slices.ContainsFunc(kept, isLimited) {
+		return kept
+	}
+	servers := make([]spokerollout.Server, len(all))
+	for i, c := range all {
+		isServing := !c.Draining && !c.Suspended && !c.DataCentreUnreachable
+		servers[i] = spokerollout.Server{
+			Name: c.Name, Version: c.SoftwareVersion, Slots: c.Slots, IsServing: isServing, IsUsable: isServing && !c.Throttled && !slices.Contains(tried, c.Name),
+		}
+	}
+	subset := v.filter.Subset(servers)
+	if subset == nil {
+		return kept
+	}
+	return keepCandidates(kept, func(c spokeroute.Candidate) bool { return !isLimited(c) || subset[c.Name] })
+}
+
 // filterVersions returns the candidates that may serve the request while a new software
-// version is rolled out. A stream that goes on stays at its version, unless that is barred.
+// version is rolled out.
 func (r *requestRun) filterVersions(candidates []spokeroute.Candidate) []spokeroute.Candidate {
-	if r.core.FilterVersionsFunc == nil {
+	rule, isInForce := r.versionRule(r.failedVersion)
+	if !isInForce {
 		return candidates
 	}
-	filter := r.core.FilterVersionsFunc(r.request.Service.Name, r.versionDraw, r.failedVersion)
-	switch {
-	case filter.IsEmpty():
-		return candidates
-	case r.softwareVersion.Load() != nil:
-		return keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.AllowsInstead(c.SoftwareVersion) })
+	return rule.inSubset(r.keepVersions(rule, candidates), candidates, r.triedServers)
+}
+
+// keepVersions returns the candidates of the versions that may serve the request.
+func (r *requestRun) keepVersions(rule versionRule, candidates []spokeroute.Candidate) []spokeroute.Candidate {
+	allowed := rule.allowed(candidates)
+	if rule.hasBegun {
+		return allowed
 	}
-	instead := keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.AllowsInstead(c.SoftwareVersion) })
+	instead := keepCandidates(candidates, func(c spokeroute.Candidate) bool { return rule.filter.AllowsInstead(c.SoftwareVersion) })
 	if r.isUnrecorded {
 		// While streams can't be recorded, only those of the service's base can begin.
 		if others := keepCandidates(instead, func(c spokeroute.Candidate) bool { return c.SoftwareVersion != r.failedVersion }); len(others) > 0 {
 			return others
 		}
 	}
-	allowed := keepCandidates(candidates, func(c spokeroute.Candidate) bool { return filter.Allows(c.SoftwareVersion) })
-	if r.hasUsable(allowed, filter) {
+	if r.hasUsable(allowed, rule.filter) {
 		return allowed
 	}
 	return instead
 }
 
-// mayServe reports whether a rollout lets servers of a version serve the request. It is safe
-// for use by the watchdog.
-func (r *requestRun) mayServe(version string) bool {
-	if r.core.FilterVersionsFunc == nil {
-		return true
-	}
-	filter := r.core.FilterVersionsFunc(r.request.Service.Name, r.versionDraw, "")
-	if r.softwareVersion.Load() != nil {
-		return filter.AllowsInstead(version)
-	}
-	return filter.IsEmpty() || filter.Allows(version)
-}
-
 // hasUsable reports whether one of the candidates can serve the request.
 func (r *requestRun) hasUsable(candidates []spokeroute.Candidate, filter spokerollout.Filter) bool {
 	for _, c := range candidates {
--- a/spokecore/rollout_test.go
+++ b/spokecore/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -11,6 +12,7 @@
 
 	"mulberryspoke.example/mulberryspoke/spokebackend"
 	"mulberryspoke.example/mulberryspoke/spokecase"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokecore"
@@ -163,3 +165,114 @@
 	require.Equal(t, "v1", preferred)
 	return origins
 }
+
+type subsetCase struct {
+	Name string `yaml:"name"`
+	// Old and New are the numbers of servers of each version.
+	Old int `yaml:"old"`
+	New int `yaml:"new"`
+	// OldSlots and NewSlots are those of each server, 4 by default.
+	OldSlots int `yaml:"old_slots"`
+	NewSlots int `yaml:"new_slots"`
+	// Status is the state of the rollout to v2, running if empty.
+	Status spokerollout.State `yaml:"status"`
+	// AreDraining lets the servers that were used first drain before all else is checked.
+	AreDraining bool `yaml:"are_draining"`
+	// AreFailing lets them fail a request each, so that they are suspended.
+	AreFailing bool `yaml:"are_failing"`
+	// Used is the number of servers of the new version that get requests of its share.
+	Used int `yaml:"used"`
+}
+
+// TestShareGoesToFewServers guards against a share that is spread over all servers of the
+// new version, so that none is as busy as the old ones and a version that is bad only under
+// load is taken for good.
+func TestShareGoesToFewServers(t *testing.T) {
+	for _, c := range spokecase.Read[[]subsetCase](t, "testdata/subsets.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			var used []map[string]bool
+			for range 2 {
+				// Two instances choose the same servers.
+				used = append(used, c.run(t))
+			}
+			require.Equal(t, used[0], used[1])
+			require.Len(t, used[0], c.Used, "%v", used[0])
+		})
+	}
+}
+
+// run returns the servers of the new version that got requests.
+func (c subsetCase) run(t *testing.T) map[string]bool {
+	rollouts := &spokerollout.Rollouts{ExposeShare: 0.1}
+	rollouts.SetStatuses(nil)
+	rollouts.SetOrders(map[string]spokerollout.Order{"s": {To: "v2", TimeLimit: 12000, Version: 1}}, false)
+	rollouts.SetStatuses(map[string]spokerollout.StatusRow{"s": {Status: spokerollout.Status{State: c.Status, To: "v2"}, Version: 2}})
+	// The clock of the registry stands still, so that suspended servers stay so.
+	var registryTime spokeclock.Manual
+	core := &spokecore.Core{
+		Registry: &spokebackend.Registry{DataCentre: "a", ListIsAuthoritative: true, Clock: registryTime.Clock()}, MemberCountFunc: oneMember, RetryRatio: 0.2, RetryBurst: 50, Counters: spokecore.NewCounters(metrics.NewSet()), Log: zerolog.Nop(),
+		FilterVersionsFunc: func(service string, _ float64, failedVersion string) spokerollout.Filter {
+			return rollouts.Filter(service, 0, failedVersion)
+		},
+	}
+	core.Registry.UpdateInstances(c.instances(nil))
+	first := c.send(t, core, nil)
+	if !c.AreDraining && !c.AreFailing {
+		return first
+	}
+	failing := first
+	if c.AreDraining {
+		core.Registry.UpdateInstances(c.instances(first))
+		failing = nil
+	}
+	used := c.send(t, core, failing)
+	for name := range first {
+		require.NotContains(t, used, name, "a server that drains or is suspended")
+	}
+	return used
+}
+
+func (c subsetCase) instances(draining map[string]bool) []spokecloud.Instance {
+	var instances []spokecloud.Instance
+	for version, servers := range map[string]struct{ count, slots int }{"v1": {c.Old, c.OldSlots}, "v2": {c.New, c.NewSlots}} {
+		for i := range servers.count {
+			instance := spokecloud.Instance{
+				Name: version + "-" + strconv.Itoa(i), Role: spokecloud.RoleBackend, Service: "s", DataCentre: "a", State: spokecloud.StateRunning, Slots: max(4, servers.slots), SoftwareVersion: version,
+			}
+			if draining[instance.Name] {
+				instance.State = spokecloud.StateTerminating
+			}
+			instances = append(instances, instance)
+		}
+	}
+	return instances
+}
+
+// send sends requests whose draw is in the share and returns the servers of the new version
+// that answered them. Failing servers fail their first one.
+func (subsetCase) send(t *testing.T, core *spokecore.Core, failing map[string]bool) map[string]bool {
+	const requests = 200
+	used, failed := make(map[string]bool), make(map[string]bool)
+	for i := range requests {
+		request := &spokecore.Request{
+			ID: strconv.Itoa(i), Route: &spokeconfig.CallerRoute{Name: "r", Kind: "idempotent", MaxAttempts: 2}, Service: &spokeconfig.Service{Name: "s", Kind: spokeconfig.ServicePlain},
+			Deadline: core.Clock.Now() + 500,
+		}
+		err := core.Serve(context.Background(), request, spokecore.Callbacks{
+			SendAttemptFunc: func(ctx context.Context, attempt spokecore.Attempt) (*spokecore.Response, error) {
+				if failing[attempt.Server.Name] && !failed[attempt.Server.Name] {
+					failed[attempt.Server.Name] = true
+					return serverBehaviour{Error: "not_sent"}.respond(ctx, t, attempt)
+				}
+				if attempt.Server.SoftwareVersion == "v2" {
+					used[attempt.Server.Name] = true
+				}
+				return serverBehaviour{Body: "whole"}.respond(ctx, t, attempt)
+			},
+			WriteHeadFunc: func(*spokecore.Response, int64) {},
+			WriteBodyFunc: func([]byte) error { return nil },
+		})
+		require.NoError(t, err)
+	}
+	return used
+}
--- a/spokerollout/filter.go
+++ b/spokerollout/filter.go
@@ -4,8 +4,11 @@
 
 // Filter tells which software versions may serve a request.
 type Filter struct {
-	// to is the ordered version, or empty if no order is in force.
-	to string
+	service string
+	// to is the ordered version, or empty if no order is in force, and share its part of the
+	// requests.
+	to    string
+	share float64
 	// isNew is whether the request goes to the ordered version, otherwise to any other.
 	isNew bool
 	// isExclusive is whether no other version may serve in place of the ordered one.
@@ -38,8 +41,9 @@
 
 // rule is how the requests of a service are divided. It doesn't change once made.
 type rule struct {
-	to    string
-	share float64
+	service string
+	to      string
+	share   float64
 	// isExclusive is set once the old servers have been told to stop.
 	isExclusive bool
 	barred      []string
@@ -48,7 +52,7 @@
 // filter returns the filter of a request. Draw is a random number from 0 up to 1 that
 // stays with the request, so that all its attempts keep to one side.
 func (r rule) filter(draw float64, failedVersion string) Filter {
-	f := Filter{to: r.to, barred: r.barred, isExclusive: r.isExclusive, isFirm: r.share >= 1}
+	f := Filter{service: r.service, to: r.to, share: r.share, barred: r.barred, isExclusive: r.isExclusive, isFirm: r.share >= 1}
 	if r.to == "" {
 		return f
 	}
--- a/spokerollout/rollouts.go
+++ b/spokerollout/rollouts.go
@@ -454,7 +454,7 @@
 	}
 	now := r.Clock.Now()
 	for service, running := range r.rollouts {
-		entry := rule{barred: r.barredVersions(service)}
+		entry := rule{service: service, barred: r.barredVersions(service)}
 		isOver := running.state == StateRolledBack || (running.state == StateSucceeded && now-running.decidedAt > succeededTime)
 		if !isOver {
 			entry.to, entry.share, entry.isExclusive = running.order.To, r.shareOf(running), running.state == StateSucceeded
--- a/spokerollout/rollouts_bench_test.go
+++ b/spokerollout/rollouts_bench_test.go
@@ -27,6 +27,7 @@
 
 func newBenchmarkRollouts(time *spokeclock.Manual) *Rollouts {
 	r := &Rollouts{ExposeShare: 0.1, Clock: time.Clock(), OldInFlightFunc: func(string, string) int { return 0 }, VersionsFunc: func(string) map[string]int { return nil }}
+	r.SetStatuses(nil)
 	r.SetOrders(map[string]Order{"s": {To: "v2", TimeLimit: 12000, Version: 1}}, false)
 	return r
 }
@@ -44,3 +45,19 @@
 		r.Record(Answer{Service: "s", Route: "r", Version: "v1", Duration: 3000})
 	}
 }
+
+// BenchmarkSubset measures the choice of the servers that get the share, which each request
+// of the share needs, with 90 servers of each version.
+func BenchmarkSubset(b *testing.B) {
+	var servers []Server
+	for _, version := range []string{"v1", "v2"} {
+		for i := range 90 {
+			servers = append(servers, Server{Name: version + "-" + strconv.Itoa(i), Version: version, Slots: 48, IsServing: true, IsUsable: true})
+		}
+	}
+	filter := Filter{service: "s", to: "v2", share: 0.07}
+	b.ReportAllocs()
+	for b.Loop() {
+		filter.Subset(servers)
+	}
+}
