--- a/spokebackend/choice_bench_test.go
+++ b/spokebackend/choice_bench_test.go
@@ -55,3 +55,26 @@
 		attempts[i%len(attempts)].RecordToken(false)
 	}
 }
+
+// BenchmarkInFlightBeside measures the sum that a rollout takes five times a second, beside
+// the same sum over all candidates.
+func BenchmarkInFlightBeside(b *testing.B) {
+	registry, _ := newBenchmarkRegistry(b)
+	b.Run("query", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			registry.InFlightBeside("s", "v2")
+		}
+	})
+	b.Run("candidates", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			sum := 0
+			for _, candidate := range registry.Candidates("s", "") {
+				if candidate.SoftwareVersion != "v2" {
+					sum += candidate.InFlight
+				}
+			}
+		}
+	})
+}
--- a/spokebackend/registry_test.go
+++ b/spokebackend/registry_test.go
@@ -228,6 +228,13 @@
 	Want map[string]int `yaml:"want"`
 }
 
+func otherVersion(instance spokecloud.Instance) string {
+	if instance.SoftwareVersion == "v1" {
+		return "v2"
+	}
+	return "v1"
+}
+
 // TestRemoteInFlight checks what instances of other data centres, which are not
 // peers, add to the load of servers. Without it, all servers that only they use
 // look idle and attract the requests of everyone.
@@ -242,6 +249,7 @@
 				for i := range count {
 					instance := newServer(dataCentre + string(rune('0'+i)))
 					instance.DataCentre = dataCentre
+					instance.SoftwareVersion = "v" + string(rune('1'+i%2))
 					instances = append(instances, instance)
 				}
 			}
@@ -250,9 +258,19 @@
 				registry.SetDataCentreInFlight(dataCentre, report)
 			}
 			clock.Advance(c.Age)
+			byVersion := make(map[string]int)
 			for _, candidate := range registry.Candidates("s", "") {
 				require.Equal(t, c.Want[candidate.DataCentre], candidate.InFlight, candidate.Name)
+				byVersion[candidate.SoftwareVersion] += candidate.InFlight
 			}
+			// A rollout ends once nothing is in flight at the old version.
+			require.Equal(t, byVersion["v1"], registry.InFlightBeside("s", "v2"))
+			require.Equal(t, byVersion["v2"], registry.InFlightBeside("s", "v1"))
+			require.Equal(t, byVersion["v1"]+byVersion["v2"], registry.InFlightBeside("s", "v3"))
+			require.Zero(t, registry.InFlightBeside("other", "v1"))
+			_, begun := registry.BeginAttempt(instances[0].Name, false, func(spokebackend.Removal) {})
+			require.True(t, begun)
+			require.Equal(t, byVersion[instances[0].SoftwareVersion]+1, registry.InFlightBeside("s", otherVersion(instances[0])))
 		})
 	}
 }
--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -280,6 +280,21 @@
 	return versions
 }
 
+// InFlightBeside returns the requests of this process and its peers in flight at a service's
+// servers whose software has another version.
+func (r *Registry) InFlightBeside(service, version string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	remote := r.remoteInFlight(service, r.Clock.Now())
+	inFlight := 0
+	for name, s := range r.servers {
+		if s.instance.Service == service && s.instance.SoftwareVersion != version {
+			inFlight += s.inFlight + r.peerTotals[IDOf(name)].Requests + remote[s.instance.DataCentre]
+		}
+	}
+	return inFlight
+}
+
 // ServerStatus is the state of one server as shown to operators.
 type ServerStatus struct {
 	instance      spokecloud.Instance
