--- a/spokerollout/answers.go
+++ b/spokerollout/answers.go
@@ -118,7 +118,7 @@
 	now := r.Clock.Now()
 	for _, source := range r.told.sources {
 		for id, told := range source.orders {
-			if id.service == running.key.service && id.to == running.key.to && told.isLive(now) && !r.ended[id] {
+			if r.isSameOrder(running, id) && told.isLive(now) {
 				same[id] = true
 			}
 		}
@@ -126,6 +126,13 @@
 	return same
 }
 
+// isSameOrder reports whether a peer may mean the same order by a key. One from before the
+// prior final status is of an earlier order.
+func (r *Rollouts) isSameOrder(running *rollout, id orderKey) bool {
+	isEarlier := running.hasPrior && running.prior.State.isFinal() && running.prior.To == id.to && id.epoch < running.prior.Version
+	return id.service == running.key.service && id.to == running.key.to && !isEarlier && !r.ended[id]
+}
+
 // maxAgeAfterLimit is the time after an order's limit for which its age is still told.
 const maxAgeAfterLimit = 20 * spokeclock.Second
 
@@ -143,6 +150,9 @@
 
 func (r *Rollouts) collectCounts(now spokeclock.Millis) map[string]int64 {
 	counts := make(map[string]int64)
+	if r.hasOrders && r.hasStatuses && !r.hasUncertain() {
+		counts[countRead] = 1
+	}
 	for _, versions := range r.barred {
 		for _, key := range versions {
 			counts[key.prefix()+countBad] = 1
@@ -154,11 +164,15 @@
 		// Rounded down, so that instances can't make an order older by telling each other.
 		counts[prefix+countAge] = int64(age / ageUnit)
 		counts[prefix+countReporters] = 1
-		if running.state == StateRolledBack {
+		switch {
+		case running.isUncertain():
+			// Peers may have seen the version ordered again.
+		case running.state == StateRolledBack:
 			counts[prefix+countBad] = 1
-		}
-		if running.state == StateSucceeded {
+		case running.state == StateSucceeded:
 			counts[prefix+countDone] = 1
+		case running.isNew:
+			counts[prefix+countNew] = 1
 		}
 		for cell, count := range running.cells {
 			counts[prefix+cell.String()] = count
@@ -167,6 +181,17 @@
 	return counts
 }
 
+// hasUncertain reports whether a rollout was ended by a status row of which peers are told
+// nothing.
+func (r *Rollouts) hasUncertain() bool {
+	for _, running := range r.rollouts {
+		if running.isUncertain() {
+			return true
+		}
+	}
+	return false
+}
+
 // SetPeerCounts stores the counters of a peer that have changed. Generation identifies the
 // run of its process. Keys of other counters are ignored.
 func (r *Rollouts) SetPeerCounts(peer string, generation int64, counts map[string]int64) {
@@ -185,6 +210,11 @@
 			}
 		}
 	}
+	if counts[countRead] > 0 && !r.isInformed {
+		// What the peer has found binds before the first request goes by its counters.
+		r.setInformed()
+		r.checkAll()
+	}
 }
 
 // IsOutdatedKey reports whether a counter is of an order that isn't in force here.
--- a/spokerollout/evidence.go
+++ b/spokerollout/evidence.go
@@ -39,11 +39,18 @@
 	countBad = "bad"
 	// countDone is one for each instance that has read that the rollout has succeeded.
 	countDone = "done"
+	// countNew is one for each instance that runs the rollout and has seen that the version
+	// was not ordered before.
+	countNew = "new"
 )
 
 // ageUnit is the unit of the age of orders in counters.
 const ageUnit = 100 * spokeclock.Millis(1)
 
+// countRead is a counter of each instance that has read the orders and the status rows. It
+// is of no order.
+const countRead = countPrefix + "read"
+
 // IsCountKey reports whether a counter is one of this package.
 func IsCountKey(key string) bool { return strings.HasPrefix(key, countPrefix) }
 
@@ -123,6 +130,7 @@
 	reporters int64
 	bad       int64
 	done      int64
+	seenNew   int64
 }
 
 // evidenceStore has what all sources have told, and the sums of it, so that a look at the
@@ -193,6 +201,8 @@
 		e.bad = count
 	case countDone:
 		e.done = count
+	case countNew:
+		e.seenNew = count
 	default:
 		cell, isCell := parseCellKey(name)
 		if !isCell {
