spokequarantine: test of servers that restart under their names

The logs have one line "Backend server crashed during a request." for each crash, all with the same content, and no line of a bar. Change: a crash has the generation of the server's run, which is not used yet. TestRestartedServers has both directions: requests and parts that crash every run, and sound ones under which a sick server crashes.

--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -44,6 +44,8 @@
 	// have the same identity.
 	Server  string
 	Request string
+	// Generation distinguishes the runs of a server. Zero means that it is not known.
+	Generation int64
 	// Subjects are the parts of the request's prompt that other requests may share, and
 	// its content.
 	Subjects []Subject
--- a/spokequarantine/quarantine_test.go
+++ b/spokequarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -18,7 +19,8 @@
 	After spokeclock.Millis `yaml:"after_millis"`
 	// At names the instances that see the step, separated by spaces.
 	At string `yaml:"at"`
-	// Crash is a server and a request, Parts are those of the request's prompt.
+	// Crash is a server, the generation of its run after a #, unless it is not known, and a
+	// request. Parts are those of the request's prompt.
 	Crash  string `yaml:"crash"`
 	Answer bool   `yaml:"answer"`
 	Parts  string `yaml:"parts"`
@@ -41,6 +43,15 @@
 	Steps []quarantineStep `yaml:"steps"`
 }
 
+// TestRestartedServers guards against a request or a part of prompts that crashes servers
+// which restart under their names, without an end, and against the bar of a sound one under
+// which a sick server crashes again and again.
+func TestRestartedServers(t *testing.T) {
+	for _, c := range spokecase.Read[[]quarantineCase](t, "testdata/restarts.yaml") {
+		t.Run(c.Name, func(t *testing.T) { newSimulation(c).run(t, c) })
+	}
+}
+
 // TestQuarantine checks that a part under which servers crash is barred at all
 // instances, and that no other part of the same requests is.
 func TestQuarantine(t *testing.T) {
@@ -101,8 +112,7 @@
 		subjects = append(subjects, spokequarantine.Content(step.Content))
 	}
 	if step.Crash != "" {
-		server, request, _ := strings.Cut(step.Crash, " ")
-		q.RecordCrash(spokequarantine.Crash{Server: server, Request: request, Subjects: subjects})
+		q.RecordCrash(parseCrash(t, step.Crash, subjects))
 	}
 	if step.Answer {
 		q.RecordAnswer(subjects)
@@ -123,6 +133,18 @@
 	require.Equal(t, strings.Fields(*step.Barred), append([]string{}, barred...), "step %d", i+1)
 }
 
+func parseCrash(t *testing.T, text string, subjects []spokequarantine.Subject) spokequarantine.Crash {
+	run, request, _ := strings.Cut(text, " ")
+	server, generation, isKnown := strings.Cut(run, "#")
+	crash := spokequarantine.Crash{Server: server, Request: request, Subjects: subjects}
+	if isKnown {
+		var err error
+		crash.Generation, err = strconv.ParseInt(generation, 10, 64)
+		require.NoError(t, err)
+	}
+	return crash
+}
+
 func admit(q *spokequarantine.Quarantine, subjects []spokequarantine.Subject) string {
 	bar, isTrial := q.Admit(subjects)
 	switch {
