spokequarantine: later runs of a server count half of another server

Cause: the "known" check of addCrash drops a crash of the same server under the same request, whatever run of the server it was, and the count of servers takes each name once. With each run as a server of its own, sound requests of a sick server are barred. Change: a crash carries the generation of the run, also in news. A server counts two points, each later run one, a rule asks two points for each server. For each run that crashed without the suspect one run less counts. Unknown generations count as one run. Of more than 16 crashes, one of a run that has another is dropped first. TestCrashingServers plays it with entry instances.

--- a/spokequarantine/news.go
+++ b/spokequarantine/news.go
@@ -33,6 +33,9 @@
 type CrashNews struct {
 	Server  uint32 `json:"server"`
 	Request uint32 `json:"request"`
+	// Generation is that of the server's run. It is zero if it is not known, as in news of
+	// instances that don't tell it.
+	Generation int64 `json:"generation,omitempty"`
 	// Age is the time since the crash.
 	Age spokeclock.Millis `json:"age_millis"`
 }
@@ -70,7 +73,7 @@
 		news.AnsweredAge = max(1, now-s.answeredAt)
 	}
 	for _, c := range s.crashes {
-		news.Crashes = append(news.Crashes, CrashNews{Server: c.server, Request: c.request, Age: now - c.at})
+		news.Crashes = append(news.Crashes, CrashNews{Server: c.server, Generation: c.generation, Request: c.request, Age: now - c.at})
 	}
 	return news
 }
@@ -107,7 +110,9 @@
 		isNews = s.applyAnswer(answeredAt) || isNews
 	}
 	for _, c := range n.Crashes {
-		isNews = s.addCrash(crashRecord{server: c.Server, request: c.Request, at: now - boundedAge(c.Age)}, now) || isNews
+		record := crashRecord{server: c.Server, generation: c.Generation, request: c.Request, at: now - boundedAge(c.Age)}
+		q.runs.add(record, now)
+		isNews = s.addCrash(record, now) || isNews
 	}
 	if triedUntil := now + min(n.TriedFor, trialTimeout); n.TriedFor > 0 && triedUntil-s.triedUntil > trialNewsGap {
 		s.triedUntil = triedUntil
--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -77,6 +77,7 @@
 	// partAnswers and requestAnswers are the last complete answers.
 	partAnswers    answerMemory
 	requestAnswers answerMemory
+	runs           runMemory
 	// changes has the changes of the suspects.
 	changes spokenews.Log[Subject]
 }
@@ -104,18 +105,26 @@
 	toldAt spokeclock.Millis
 }
 
-// crashRecord is one crash. The server and the request are hashes.
+// crashRecord is one crash. The server and the request are hashes. The generation is zero if
+// the run of the server is not known.
 type crashRecord struct {
-	server  uint32
-	request uint32
-	at      spokeclock.Millis
+	server     uint32
+	generation int64
+	request    uint32
+	at         spokeclock.Millis
+}
+
+// isLike reports whether two crashes are of one server under one request.
+func (c crashRecord) isLike(other crashRecord) bool {
+	return c.server == other.server && c.request == other.request
 }
 
 // RecordCrash records a crash that this process has seen.
 func (q *Quarantine) RecordCrash(crash Crash) {
 	now := q.Clock.Now()
-	record := crashRecord{server: hashOf(crash.Server), request: hashOf(crash.Request), at: now}
+	record := crashRecord{server: hashOf(crash.Server), generation: crash.Generation, request: hashOf(crash.Request), at: now}
 	q.update(func() {
+		q.runs.add(record, now)
 		for _, subject := range crash.Subjects {
 			answeredAt, isAnswered := q.answers(subject).get(subject)
 			if len(subject) > maxSubjectBytes || (isAnswered && now-answeredAt <= recentAnswer) {
@@ -282,10 +291,10 @@
 		if !q.changes.ChangedSince(subject, after) {
 			continue
 		}
-		s.bar()
+		s.bar(s.evidence(&q.runs))
 		if isBarred := s.isBarredAt(now); isBarred != s.isReported {
 			s.isReported = isBarred
-			changes = append(changes, barChange{subject: subject, isBarred: isBarred, crashes: s.independentCrashes()})
+			changes = append(changes, barChange{subject: subject, isBarred: isBarred, crashes: s.evidence(&q.runs).crashes})
 		}
 	}
 	return changes
@@ -364,14 +373,17 @@
 	if s.isAnswered && (record.at <= s.answeredAt || now-s.answeredAt <= recentAnswer) {
 		return false
 	}
-	for _, known := range s.crashes {
-		if known.server == record.server && known.request == record.request {
-			return false
-		}
+	isKnown := func(c crashRecord) bool {
+		return c.isLike(record) && (record.generation == 0 || record.generation == c.generation)
+	}
+	if slices.ContainsFunc(s.crashes, isKnown) {
+		return false
 	}
+	// A run that is not known may be this one.
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crashRecord) bool { return c.isLike(record) && c.generation == 0 })
 	s.crashes = append(s.crashes, record)
 	slices.SortFunc(s.crashes, func(a, b crashRecord) int { return cmp.Compare(a.at, b.at) })
-	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
+	s.dropCrash()
 	return true
 }
 
@@ -398,13 +410,13 @@
 	return true
 }
 
-// bar bars the subject if it has enough crashes.
-func (s *suspect) bar() {
+// bar bars the subject if there is enough evidence.
+func (s *suspect) bar(evidence evidence) {
 	needed := s.rule.minCrashes
 	if s.isAnswered {
 		needed = s.rule.minCrashesAnswered
 	}
-	crashes, last := s.independentCrashes(), s.lastCrashAt()
+	last := s.lastCrashAt()
 	if s.isBarred && last >= s.barredUntil {
 		s.isReported = false
 	}
@@ -413,9 +425,9 @@
 		// A trial has crashed its server. The crashes before the bar may be too old to
 		// count.
 		s.barUntil(last + barDuration)
-	case crashes >= needed && crashes >= s.rule.minCrashesFirm:
+	case evidence.proves(max(needed, s.rule.minCrashesFirm)):
 		s.barUntil(last + barDuration)
-	case crashes >= needed:
+	case evidence.proves(needed):
 		s.barUntil(last + shortBarDuration)
 	}
 }
@@ -438,27 +450,6 @@
 	}
 }
 
-// independentCrashes returns the number of crashes of different servers, the gap of the
-// rule apart, within the last crashWindow. Requests that are alike count once, unless
-// they are the suspect.
-func (s *suspect) independentCrashes() int {
-	servers, requests := make(map[uint32]bool), make(map[uint32]bool)
-	count := 0
-	var lastAt spokeclock.Millis
-	for _, c := range s.crashes {
-		isOutdated := s.lastCrashAt()-c.at > crashWindow
-		isTooClose := count > 0 && c.at-lastAt < s.rule.minCrashGap
-		isRepeat := requests[c.request] && !s.rule.countsRepeats
-		if isOutdated || isTooClose || servers[c.server] || isRepeat {
-			continue
-		}
-		servers[c.server], requests[c.request] = true, true
-		lastAt = c.at
-		count++
-	}
-	return count
-}
-
 // lastCrashAt returns the time of the last crash, or zero if there is none.
 func (s *suspect) lastCrashAt() spokeclock.Millis {
 	if len(s.crashes) == 0 {
--- a/spokequarantine/subject.go
+++ b/spokequarantine/subject.go
@@ -25,7 +25,7 @@
 	return strings.CutPrefix(string(s), contentPrefix)
 }
 
-// rule is how many crashes bar a subject.
+// rule is how many crashes bar a subject. Its numbers are of servers, see evidence.
 type rule struct {
 	// minCrashes is the number of crashes that bar a subject of which no answer is
 	// known.
