spokecore: crashes are recorded and checked by the run of a server

Cause: recordChecked knew the generation of the server and did not pass it on. A check that was under way for one run also judged answers of the next run of the name, and an answer of an earlier run was judged although only its next run is in use: a removed run counted as crashed, and an answer that ended with its connection counted as complete because the next run accepted connections. Change: crashes carry the generation, checks are kept by name and generation, and Registry.AcceptsRequests asks for the run.

--- a/spokebackend/view.go
+++ b/spokebackend/view.go
@@ -118,12 +118,12 @@
 	return r.lastResponses[dataCentre]
 }
 
-// AcceptsRequests reports whether a server is listed and not being removed.
-func (r *Registry) AcceptsRequests(name string) bool {
+// AcceptsRequests reports whether this run of a server is listed and not being removed.
+func (r *Registry) AcceptsRequests(instance spokecloud.Instance) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	s, found := r.servers[name]
-	return found && !r.isDraining(s)
+	s, found := r.servers[instance.Name]
+	return found && s.instance.Generation == instance.Generation && !r.isDraining(s)
 }
 
 // isClosed reports whether a server gets no new requests: it is draining or has
--- a/spokecore/quarantine.go
+++ b/spokecore/quarantine.go
@@ -73,7 +73,7 @@
 	case r.core.Quarantine == nil || len(r.subjects) == 0:
 	case r.isDelimited:
 		r.core.Quarantine.RecordAnswer(r.subjects)
-	case r.core.Registry.AcceptsRequests(server.Name):
+	case r.core.Registry.AcceptsRequests(server):
 		r.core.checkServer(server, endedAnswer{request: r.request, isWhole: true})
 	}
 }
@@ -82,7 +82,7 @@
 // broken off its answer has crashed.
 func (r *requestRun) recordBrokenAnswer(server spokecloud.Instance) {
 	isLate := r.answerStartedAt > 0 && r.core.Clock.Now()-r.answerStartedAt > maxCrashDelay
-	if r.core.Quarantine == nil || len(r.subjects) == 0 || isLate || !r.core.Registry.AcceptsRequests(server.Name) {
+	if r.core.Quarantine == nil || len(r.subjects) == 0 || isLate || !r.core.Registry.AcceptsRequests(server) {
 		return
 	}
 	r.crashCheck = r.core.checkServer(server, endedAnswer{request: r.request})
@@ -118,7 +118,7 @@
 	if c.RefusesConnectionsFunc == nil {
 		return nil
 	}
-	done, isFirst := c.crashChecks.add(server.Name, answer)
+	done, isFirst := c.crashChecks.add(runOf(server), answer)
 	if isFirst {
 		go c.runCrashCheck(server)
 	}
@@ -129,7 +129,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout.Duration())
 	defer cancel()
 	hasCrashed := c.RefusesConnectionsFunc(ctx, server)
-	check := c.crashChecks.take(server.Name)
+	check := c.crashChecks.take(runOf(server))
 	for _, answer := range check.answers {
 		c.recordChecked(server, answer, hasCrashed)
 	}
@@ -140,47 +140,57 @@
 	request := answer.request
 	switch {
 	case hasCrashed:
-		c.Log.Info().Str("id", request.ID).Str("server", server.Name).Str("content", request.ContentKey).Strs("prompt_parts", request.sharedPartKeys()).Msg("Backend server crashed during a request.")
-		c.Quarantine.RecordCrash(spokequarantine.Crash{Server: server.Name, Request: request.likeness(), Subjects: request.subjects()})
+		c.Log.Info().Str("id", request.ID).Str("server", server.Name).Int64("generation", server.Generation).Str("content", request.ContentKey).Strs("prompt_parts", request.sharedPartKeys()).Msg("Backend server crashed during a request.")
+		c.Quarantine.RecordCrash(spokequarantine.Crash{Server: server.Name, Generation: server.Generation, Request: request.likeness(), Subjects: request.subjects()})
 	case answer.isWhole:
 		c.Quarantine.RecordAnswer(request.subjects())
 	}
 }
 
+// serverRun identifies one run of a server.
+type serverRun struct {
+	name       string
+	generation int64
+}
+
+func runOf(server spokecloud.Instance) serverRun {
+	return serverRun{name: server.Name, generation: server.Generation}
+}
+
 // crashChecks holds the checks of servers that are under way.
 type crashChecks struct {
 	mutex   sync.Mutex
-	pending map[string]*crashCheck
+	pending map[serverRun]*crashCheck
 }
 
-// crashCheck is the check of one server. Done is closed at its end.
+// crashCheck is the check of one run of a server. Done is closed at its end.
 type crashCheck struct {
 	answers []endedAnswer
 	done    chan struct{}
 }
 
-// add adds an answer and reports whether it is the first one of its server.
-func (c *crashChecks) add(server string, answer endedAnswer) (done <-chan struct{}, isFirst bool) {
+// add adds an answer and reports whether it is the first one of its server's run.
+func (c *crashChecks) add(run serverRun, answer endedAnswer) (done <-chan struct{}, isFirst bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.pending == nil {
-		c.pending = make(map[string]*crashCheck)
+		c.pending = make(map[serverRun]*crashCheck)
 	}
-	check, isPending := c.pending[server]
+	check, isPending := c.pending[run]
 	if !isPending {
 		check = &crashCheck{done: make(chan struct{})}
-		c.pending[server] = check
+		c.pending[run] = check
 	}
 	check.answers = append(check.answers, answer)
 	return check.done, !isPending
 }
 
-// take removes and returns the check of a server.
-func (c *crashChecks) take(server string) *crashCheck {
+// take removes and returns the check of a server's run.
+func (c *crashChecks) take(run serverRun) *crashCheck {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	check := c.pending[server]
-	delete(c.pending, server)
+	check := c.pending[run]
+	delete(c.pending, run)
 	return check
 }
 
