spokebackend: a load report counts for the run that made it

Cause: RecordLoad found the server by name. An answer of an earlier run whose head arrives after the next run is listed made the next run look busy and slow for a moment. Change: RecordLoad gets the generation.

--- a/spokebackend/bounds_test.go
+++ b/spokebackend/bounds_test.go
@@ -50,7 +50,7 @@
 	if c.PeerSlots != 0 {
 		registry.SetPeerSlots(spokebackend.IDOf("odd"), c.PeerSlots)
 	}
-	registry.RecordLoad("odd", spokeengine.Load{Slots: c.Reported, Running: c.Running, Waiting: c.Waiting, Age: c.Age})
+	registry.RecordLoad("odd", 0, spokeengine.Load{Slots: c.Reported, Running: c.Running, Waiting: c.Waiting, Age: c.Age})
 	for _, candidate := range registry.Candidates("s", "") {
 		if candidate.Name == "odd" {
 			require.Equal(t, c.Slots, candidate.Slots)
--- a/spokebackend/registry.go
+++ b/spokebackend/registry.go
@@ -340,11 +340,12 @@
 	return names
 }
 
-// RecordLoad stores a load report of a server.
-func (r *Registry) RecordLoad(name string, load spokeengine.Load) {
+// RecordLoad stores a load report of one run of a server. Those of earlier runs say nothing of
+// the present one.
+func (r *Registry) RecordLoad(name string, generation int64, load spokeengine.Load) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if s, found := r.servers[name]; found {
+	if s, found := r.servers[name]; found && s.instance.Generation == generation {
 		s.load = load
 		s.load.Running, s.load.Waiting, s.load.Slots = boundedReport(load.Running), boundedReport(load.Waiting), boundedReport(load.Slots)
 		s.loadMeasuredAt = r.Clock.Now() - min(max(0, load.Age), maxReportAge)
--- a/spokebackend/speeds_test.go
+++ b/spokebackend/speeds_test.go
@@ -280,7 +280,7 @@
 	if now < e.slowUntil {
 		workTime *= r.Noise.Factor
 	}
-	a.instance.registry.RecordLoad(e.name, spokeengine.Load{Slots: e.slots, Running: len(e.running), Waiting: len(e.waiting), WorkTime: int(workTime)})
+	a.instance.registry.RecordLoad(e.name, 0, spokeengine.Load{Slots: e.slots, Running: len(e.running), Waiting: len(e.waiting), WorkTime: int(workTime)})
 	if !a.isMeasured {
 		return
 	}
@@ -338,7 +338,7 @@
 		attempt.Succeed()
 	}
 	for range 10 {
-		registry.RecordLoad("x", spokeengine.Load{Slots: 4, WorkTime: 600})
+		registry.RecordLoad("x", 1, spokeengine.Load{Slots: 4, WorkTime: 600})
 	}
 	require.InDelta(t, 1.2*10000, float64(registry.EngineTime("s", 500000, 0, 4)), 200, "the mean speed is 1/1.2 of the median one")
 	candidate := candidateOf(registry, "x")
@@ -386,14 +386,14 @@
 	require.InDelta(t, 50, chosen(), 20)
 	for range 4 {
 		clock.Advance(50)
-		registry.RecordLoad("x", spokeengine.Load{Slots: 4, WorkTime: 400})
+		registry.RecordLoad("x", 0, spokeengine.Load{Slots: 4, WorkTime: 400})
 	}
 	require.Zero(t, chosen())
 	var shares []float64
 	for range 8 {
 		for range 4 {
 			clock.Advance(250)
-			registry.RecordLoad("x", spokeengine.Load{Slots: 4, WorkTime: 100})
+			registry.RecordLoad("x", 0, spokeengine.Load{Slots: 4, WorkTime: 100})
 		}
 		shares = append(shares, candidateOf(registry, "x").TrafficShare)
 	}
--- a/spokecore/attempt.go
+++ b/spokecore/attempt.go
@@ -94,7 +94,7 @@
 		return r.forwardAnswer(ctx, response, attempt, w)
 	}
 	if response.Load != nil {
-		r.core.Registry.RecordLoad(attempt.Instance().Name, *response.Load)
+		r.core.Registry.RecordLoad(attempt.Instance().Name, attempt.Instance().Generation, *response.Load)
 	}
 	if response.EventsFunc != nil && !response.ServerFailed {
 		return r.forwardEvents(ctx, response, attempt, w, cancel)
--- a/spokewatch/poller.go
+++ b/spokewatch/poller.go
@@ -211,5 +211,5 @@
 	if err != nil {
 		return
 	}
-	p.Registry.RecordLoad(instance.Name, load)
+	p.Registry.RecordLoad(instance.Name, instance.Generation, load)
 }
