spokecore: a whole answer is recorded before its caller has it

A buffered answer was written to the caller and only then recorded as complete, so that the trial had no result yet when the next request came. Change: an answer that is whole is recorded before its head is written. Streams and long answers end for the caller when the handler returns, which is after the record. An answer that is whole counts also if its caller has gone.

--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -54,6 +54,10 @@
 	if length < 0 && !r.stayAtServer(ctx, w) {
 		return spokeerror.New("read answer", KindNoAnswer, context.Cause(ctx))
 	}
+	if isWhole {
+		// The caller may send its next request as soon as it has the answer.
+		r.recordCompleteAnswer(attempt.Instance())
+	}
 	r.headWritten = true
 	r.callbacks.WriteHeadFunc(response, length)
 	if err := r.callbacks.WriteBodyFunc(buffered); err != nil {
--- a/spokecore/quarantine.go
+++ b/spokecore/quarantine.go
@@ -65,10 +65,14 @@
 	return spokeerror.Newf("check request", KindQuarantined, "%q has crashed backend servers and is barred for %d ms", bar.Subject, bar.Remaining)
 }
 
-// recordCompleteAnswer records that the request has not crashed its server. If the
+// recordCompleteAnswer records, once, that the request has not crashed its server. If the
 // answer ends with its connection, that is only certain once the server accepts
 // another one.
 func (r *requestRun) recordCompleteAnswer(server spokecloud.Instance) {
+	if r.isAnswerRecorded {
+		return
+	}
+	r.isAnswerRecorded = true
 	switch {
 	case r.core.Quarantine == nil || len(r.subjects) == 0:
 	case r.isDelimited:
--- a/spokecore/quarantine_test.go
+++ b/spokecore/quarantine_test.go
@@ -92,6 +92,30 @@
 	require.Empty(t, suspectOf(core, "second").Crashes)
 }
 
+// TestAnsweredTrial guards against a request that is refused although the trial before it was
+// answered, as its caller had the whole answer before it was recorded.
+func TestAnsweredTrial(t *testing.T) {
+	var shift spokeclock.Millis
+	core := newQuarantineCore(func(spokecloud.Instance) bool { return false })
+	core.Quarantine.Clock = &spokeclock.Clock{NowFunc: func() spokeclock.Millis { return core.Clock.Now() + shift }}
+	for _, server := range []string{"x", "y"} {
+		shift += 100
+		core.Quarantine.RecordCrash(spokequarantine.Crash{Server: server, Request: "r", Subjects: contentOf("r")})
+	}
+	bar := core.Quarantine.Find(contentOf("r"))
+	require.NotEmpty(t, bar.Subject)
+	shift += bar.Remaining
+	answer := func() *spokecore.Response {
+		return &spokecore.Response{Body: io.NopCloser(strings.NewReader("answer"))}
+	}
+	answers := 0
+	serveCaller(core, "r", answer, func() {
+		answers++
+		serveCaller(core, "r", answer, func() { answers++ })
+	})
+	require.Equal(t, 2, answers)
+}
+
 // newQuarantineCore returns a core before the first run of the server a.
 func newQuarantineCore(refusesFunc func(server spokecloud.Instance) bool) *spokecore.Core {
 	core := &spokecore.Core{
@@ -114,6 +138,12 @@
 // serveContent serves a request with a content. The answer is broken off if respondFunc
 // returns nil.
 func serveContent(core *spokecore.Core, content string, respondFunc func() *spokecore.Response) {
+	serveCaller(core, content, respondFunc, func() {})
+}
+
+// serveCaller is serveContent with what happens as soon as the caller has a part of the
+// answer.
+func serveCaller(core *spokecore.Core, content string, respondFunc func() *spokecore.Response, writtenFunc func()) {
 	request := &spokecore.Request{
 		ID: content, ContentKey: content,
 		Route:     &spokeconfig.CallerRoute{Name: "r", Kind: spokeconfig.RouteAtMostOnce, MaxAttempts: 1},
@@ -129,7 +159,10 @@
 			return nil, spokeerror.New("send", spokecore.KindNoAnswer, nil)
 		},
 		WriteHeadFunc: func(*spokecore.Response, int64) {},
-		WriteBodyFunc: func([]byte) error { return nil },
+		WriteBodyFunc: func([]byte) error {
+			writtenFunc()
+			return nil
+		},
 	})
 }
 
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -65,7 +65,9 @@
 	// isDelimited is whether the end of the present attempt's answer can't be mistaken
 	// for a lost connection.
 	isDelimited bool
-	lastEventID string
+	// isAnswerRecorded is whether the quarantine knows of the answer.
+	isAnswerRecorded bool
+	lastEventID      string
 	// cannotResume is whether the caller has something after which no other server can
 	// go on.
 	cannotResume  atomic.Bool
