spokequarantine: later runs count if the service has answered in between

Cause: a service whose only server is sick answers nothing, and its waiting requests all reach each run, so that each of them is in every crash and none cancels another. Change: a crash tells the age of the last complete answer of the server's service, also to peers. A later run counts only if there was one since the run before. Conclusion: without any answer of a service nothing is barred by one server.

--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -120,6 +120,8 @@
 	prefixLocations spokeroute.PrefixLocations
 	answerLengths   answerLengthEstimator
 	answered        answeredRates
+	// lastAnswerAt is when the last answer was complete, in milliseconds, or zero.
+	lastAnswerAt atomic.Int64
 
 	mutex         sync.Mutex
 	routingPolicy spokeroute.Policy
--- a/spokecore/quarantine.go
+++ b/spokecore/quarantine.go
@@ -76,7 +76,7 @@
 	switch {
 	case r.core.Quarantine == nil || len(r.subjects) == 0:
 	case r.isDelimited:
-		r.core.Quarantine.RecordAnswer(r.subjects)
+		r.core.recordSoundAnswer(r.service, r.subjects)
 	case r.core.Registry.AcceptsRequests(server):
 		r.core.checkServer(server, endedAnswer{request: r.request, isWhole: true})
 	}
@@ -145,12 +145,31 @@
 	switch {
 	case hasCrashed:
 		c.Log.Info().Str("id", request.ID).Str("server", server.Name).Int64("generation", server.Generation).Str("content", request.ContentKey).Strs("prompt_parts", request.sharedPartKeys()).Msg("Backend server crashed during a request.")
-		c.Quarantine.RecordCrash(spokequarantine.Crash{Server: server.Name, Generation: server.Generation, Request: request.likeness(), Subjects: request.subjects()})
+		c.Quarantine.RecordCrash(spokequarantine.Crash{
+			Server: server.Name, Generation: server.Generation, Request: request.likeness(), Subjects: request.subjects(),
+			AnswerAge: c.answerAge(c.serviceState(request.Service.Name)),
+		})
 	case answer.isWhole:
-		c.Quarantine.RecordAnswer(request.subjects())
+		c.recordSoundAnswer(c.serviceState(request.Service.Name), request.subjects())
 	}
 }
 
+// recordSoundAnswer records a complete answer of a server of a service.
+func (c *Core) recordSoundAnswer(service *serviceState, subjects []spokequarantine.Subject) {
+	service.lastAnswerAt.Store(int64(c.Clock.Now()))
+	c.Quarantine.RecordAnswer(subjects)
+}
+
+// answerAge returns the time since the last complete answer of a service, or zero if there
+// was none.
+func (c *Core) answerAge(service *serviceState) spokeclock.Millis {
+	answeredAt := service.lastAnswerAt.Load()
+	if answeredAt == 0 {
+		return 0
+	}
+	return max(1, c.Clock.Now()-spokeclock.Millis(answeredAt))
+}
+
 // serverRun identifies one run of a server.
 type serverRun struct {
 	name       string
--- a/spokequarantine/news.go
+++ b/spokequarantine/news.go
@@ -36,6 +36,8 @@
 	// Generation is that of the server's run. It is zero if it is not known, as in news of
 	// instances that don't tell it.
 	Generation int64 `json:"generation,omitempty"`
+	// AnswerAge is the age at the crash of the last answer of the server's service, or zero.
+	AnswerAge spokeclock.Millis `json:"answer_age_millis,omitempty"`
 	// Age is the time since the crash.
 	Age spokeclock.Millis `json:"age_millis"`
 }
@@ -73,7 +75,7 @@
 		news.AnsweredAge = max(1, now-s.answeredAt)
 	}
 	for _, c := range s.crashes {
-		news.Crashes = append(news.Crashes, CrashNews{Server: c.server, Generation: c.generation, Request: c.request, Age: now - c.at})
+		news.Crashes = append(news.Crashes, CrashNews{Server: c.server, Generation: c.generation, Request: c.request, Age: now - c.at, AnswerAge: c.answerAge})
 	}
 	return news
 }
@@ -110,7 +112,7 @@
 		isNews = s.applyAnswer(answeredAt) || isNews
 	}
 	for _, c := range n.Crashes {
-		record := crashRecord{server: c.Server, generation: c.Generation, request: c.Request, at: now - boundedAge(c.Age)}
+		record := crashRecord{server: c.Server, generation: c.Generation, request: c.Request, at: now - boundedAge(c.Age), answerAge: boundedAge(c.AnswerAge)}
 		q.runs.add(record, now)
 		isNews = s.addCrash(record, now) || isNews
 	}
--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -46,6 +46,9 @@
 	Request string
 	// Generation distinguishes the runs of a server. Zero means that it is not known.
 	Generation int64
+	// AnswerAge is the time since this process last had a complete answer of the server's
+	// service, or zero if it had none.
+	AnswerAge spokeclock.Millis
 	// Subjects are the parts of the request's prompt that other requests may share, and
 	// its content.
 	Subjects []Subject
@@ -112,6 +115,9 @@
 	generation int64
 	request    uint32
 	at         spokeclock.Millis
+	// answerAge is that of the last answer of the server's service at the crash, or zero if
+	// none is known.
+	answerAge spokeclock.Millis
 }
 
 // isLike reports whether two crashes are of one server under one request.
@@ -122,7 +128,7 @@
 // RecordCrash records a crash that this process has seen.
 func (q *Quarantine) RecordCrash(crash Crash) {
 	now := q.Clock.Now()
-	record := crashRecord{server: hashOf(crash.Server), generation: crash.Generation, request: hashOf(crash.Request), at: now}
+	record := crashRecord{server: hashOf(crash.Server), generation: crash.Generation, request: hashOf(crash.Request), at: now, answerAge: crash.AnswerAge}
 	q.update(func() {
 		q.runs.add(record, now)
 		for _, subject := range crash.Subjects {
--- a/spokequarantine/quarantine_test.go
+++ b/spokequarantine/quarantine_test.go
@@ -21,9 +21,12 @@
 	At string `yaml:"at"`
 	// Crash is a server, the generation of its run after a #, unless it is not known, and a
 	// request. Parts are those of the request's prompt.
-	Crash  string `yaml:"crash"`
-	Answer bool   `yaml:"answer"`
-	Parts  string `yaml:"parts"`
+	Crash string `yaml:"crash"`
+	// Unanswered means that the server's service has answered no request yet. Otherwise it
+	// has answered one 100 ms before.
+	Unanswered bool   `yaml:"unanswered"`
+	Answer     bool   `yaml:"answer"`
+	Parts      string `yaml:"parts"`
 	// Content is the content of the request.
 	Content string `yaml:"content"`
 	// Exchange sends the news between linked instances until there is no more.
@@ -112,7 +115,7 @@
 		subjects = append(subjects, spokequarantine.Content(step.Content))
 	}
 	if step.Crash != "" {
-		q.RecordCrash(parseCrash(t, step.Crash, subjects))
+		q.RecordCrash(parseCrash(t, step.Crash, step.Unanswered, subjects))
 	}
 	if step.Answer {
 		q.RecordAnswer(subjects)
@@ -133,10 +136,13 @@
 	require.Equal(t, strings.Fields(*step.Barred), append([]string{}, barred...), "step %d", i+1)
 }
 
-func parseCrash(t *testing.T, text string, subjects []spokequarantine.Subject) spokequarantine.Crash {
+func parseCrash(t *testing.T, text string, isUnanswered bool, subjects []spokequarantine.Subject) spokequarantine.Crash {
 	run, request, _ := strings.Cut(text, " ")
 	server, generation, isKnown := strings.Cut(run, "#")
-	crash := spokequarantine.Crash{Server: server, Request: request, Subjects: subjects}
+	crash := spokequarantine.Crash{Server: server, Request: request, Subjects: subjects, AnswerAge: 100}
+	if isUnanswered {
+		crash.AnswerAge = 0
+	}
 	if isKnown {
 		var err error
 		crash.Generation, err = strconv.ParseInt(generation, 10, 64)
--- a/spokequarantine/runs.go
+++ b/spokequarantine/runs.go
@@ -67,37 +67,59 @@
 
 // evidence returns what the crashes within the last crashWindow count. Crashes that come
 // closer to each other than the gap of the rule count once, and so do requests that are alike,
-// unless they are the suspect. A later run of a server counts if its generation is known. For
-// each run of the server that has crashed without the suspect, one less counts: the crashes
-// of a sick server meet a sound subject by its share of the requests.
+// unless they are the suspect. For each run of a server that has crashed without the suspect,
+// one less of its later runs counts: the crashes of a sick server meet a sound subject by its
+// share of the requests.
 func (s *suspect) evidence(runs *runMemory) evidence {
 	requests := make(map[uint32]bool)
-	// generations are the known runs that count, by server.
-	generations := make(map[uint32][]int64)
+	counted := make(map[uint32]*countedRuns)
 	var lastAt spokeclock.Millis
 	for _, c := range s.crashes {
-		counted, isServerCounted := generations[c.server]
 		isOutdated := s.lastCrashAt()-c.at > crashWindow
-		isTooClose := len(generations) > 0 && c.at-lastAt < s.rule.minCrashGap
+		isTooClose := len(counted) > 0 && c.at-lastAt < s.rule.minCrashGap
 		isRepeat := requests[c.request] && !s.rule.countsRepeats
-		isSameRun := isServerCounted && (c.generation == 0 || slices.Contains(counted, c.generation))
-		if isOutdated || isTooClose || isSameRun || isRepeat {
+		server := counted[c.server]
+		if isOutdated || isTooClose || isRepeat || (server != nil && !server.isFollowedBy(c)) {
 			continue
 		}
-		if c.generation != 0 {
-			counted = append(counted, c.generation)
+		if server == nil {
+			server = &countedRuns{}
+			counted[c.server] = server
 		}
-		generations[c.server], requests[c.request] = counted, true
+		server.add(c)
+		requests[c.request] = true
 		lastAt = c.at
 	}
 	var total evidence
-	for server, counted := range generations {
+	for server, c := range counted {
 		total.servers++
-		total.crashes += 1 + max(0, len(counted)-1-runs.countWithout(s, server))
+		total.crashes += 1 + max(0, len(c.generations)-1-runs.countWithout(s, server))
 	}
 	return total
 }
 
+// countedRuns are the runs of one server that count against a suspect.
+type countedRuns struct {
+	// generations are those that are known.
+	generations []int64
+	lastAt      spokeclock.Millis
+}
+
+func (r *countedRuns) add(c crashRecord) {
+	if c.generation != 0 {
+		r.generations = append(r.generations, c.generation)
+	}
+	r.lastAt = c.at
+}
+
+// isFollowedBy reports whether a crash is of a later run that counts. The run must be known,
+// and the service must have answered something since the run before: if the only server of a
+// service crashes under all requests, nothing tells the one that crashes it from the others.
+func (r *countedRuns) isFollowedBy(c crashRecord) bool {
+	isAnsweredSince := c.answerAge > 0 && c.at-c.answerAge > r.lastAt
+	return c.generation != 0 && !slices.Contains(r.generations, c.generation) && isAnsweredSince
+}
+
 // dropCrash removes a crash if there are more than maxCrashes: the earliest one of a run that
 // has another one, so that many requests at one run do not displace other runs, or else the
 // earliest one.
