--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -71,9 +71,10 @@
 	Clock *spokeclock.Clock
 	// ChangedFunc is called when there is news for peers. It may be nil.
 	ChangedFunc func()
-	// BarChangedFunc is called when a subject is barred, with the number of its crashes,
-	// or free again because an answer was complete. It may be nil.
-	BarChangedFunc func(subject Subject, isBarred bool, crashes int)
+	// BarChangedFunc is called when a subject is barred, with the number of its crashes that
+	// count and of the servers that crashed, or free again because an answer was complete. It
+	// may be nil.
+	BarChangedFunc func(subject Subject, isBarred bool, crashes, servers int)
 
 	mutex    sync.Mutex
 	suspects map[Subject]*suspect
@@ -273,7 +274,7 @@
 	q.mutex.Unlock()
 	for _, change := range changes {
 		if q.BarChangedFunc != nil {
-			q.BarChangedFunc(change.subject, change.isBarred, change.crashes)
+			q.BarChangedFunc(change.subject, change.isBarred, change.evidence.crashes, change.evidence.servers)
 		}
 	}
 	if hasChanged && q.ChangedFunc != nil {
@@ -285,7 +286,7 @@
 type barChange struct {
 	subject  Subject
 	isBarred bool
-	crashes  int
+	evidence evidence
 }
 
 // updateBars bars the subjects with enough crashes among those that have changed after a
@@ -297,10 +298,11 @@
 		if !q.changes.ChangedSince(subject, after) {
 			continue
 		}
-		s.bar(s.evidence(&q.runs))
+		evidence := s.evidence(&q.runs)
+		s.bar(evidence)
 		if isBarred := s.isBarredAt(now); isBarred != s.isReported {
 			s.isReported = isBarred
-			changes = append(changes, barChange{subject: subject, isBarred: isBarred, crashes: s.evidence(&q.runs).crashes})
+			changes = append(changes, barChange{subject: subject, isBarred: isBarred, evidence: evidence})
 		}
 	}
 	return changes
--- a/spokequarantine/quarantine_test.go
+++ b/spokequarantine/quarantine_test.go
@@ -263,7 +263,7 @@
 	var reports []bool
 	q := &spokequarantine.Quarantine{
 		Clock:          &spokeclock.Clock{NowFunc: func() spokeclock.Millis { return now }},
-		BarChangedFunc: func(_ spokequarantine.Subject, isBarred bool, _ int) { reports = append(reports, isBarred) },
+		BarChangedFunc: func(_ spokequarantine.Subject, isBarred bool, _, _ int) { reports = append(reports, isBarred) },
 	}
 	subjects := []spokequarantine.Subject{spokequarantine.Content("r")}
 	for i := range 3 {
