--- a/spokequarantine/quarantine.go
+++ b/spokequarantine/quarantine.go
@@ -81,7 +81,8 @@
 	// partAnswers and requestAnswers are the last complete answers.
 	partAnswers    answerMemory
 	requestAnswers answerMemory
-	runs           runMemory
+	// runs are the runs of servers that have crashed.
+	runs runMemory
 	// changes has the changes of the suspects.
 	changes spokenews.Log[Subject]
 }
