--- a/spokecore/quarantine.go
+++ b/spokecore/quarantine.go
@@ -65,15 +65,19 @@
 	return spokeerror.Newf("check request", KindQuarantined, "%q has crashed backend servers and is barred for %d ms", bar.Subject, bar.Remaining)
 }
 
-// recordCompleteAnswer records that the request has not crashed its server. If the
+// recordCompleteAnswer records, once, that the request has not crashed its server. If the
 // answer ends with its connection, that is only certain once the server accepts
 // another one.
 func (r *requestRun) recordCompleteAnswer(server spokecloud.Instance) {
+	if r.isAnswerRecorded {
+		return
+	}
+	r.isAnswerRecorded = true
 	switch {
 	case r.core.Quarantine == nil || len(r.subjects) == 0:
 	case r.isDelimited:
-		r.core.Quarantine.RecordAnswer(r.subjects)
-	case r.core.Registry.AcceptsRequests(server.Name):
+		r.core.recordSoundAnswer(r.service, r.subjects)
+	case r.core.Registry.AcceptsRequests(server):
 		r.core.checkServer(server, endedAnswer{request: r.request, isWhole: true})
 	}
 }
@@ -82,7 +86,7 @@
 // broken off its answer has crashed.
 func (r *requestRun) recordBrokenAnswer(server spokecloud.Instance) {
 	isLate := r.answerStartedAt > 0 && r.core.Clock.Now()-r.answerStartedAt > maxCrashDelay
-	if r.core.Quarantine == nil || len(r.subjects) == 0 || isLate || !r.core.Registry.AcceptsRequests(server.Name) {
+	if r.core.Quarantine == nil || len(r.subjects) == 0 || isLate || !r.core.Registry.AcceptsRequests(server) {
 		return
 	}
 	r.crashCheck = r.core.checkServer(server, endedAnswer{request: r.request})
@@ -118,7 +122,7 @@
 	if c.RefusesConnectionsFunc == nil {
 		return nil
 	}
-	done, isFirst := c.crashChecks.add(server.Name, answer)
+	done, isFirst := c.crashChecks.add(runOf(server), answer)
 	if isFirst {
 		go c.runCrashCheck(server)
 	}
@@ -129,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout.Duration())
 	defer cancel()
 	hasCrashed := c.RefusesConnectionsFunc(ctx, server)
-	check := c.crashChecks.take(server.Name)
+	check := c.crashChecks.take(runOf(server))
 	for _, answer := range check.answers {
 		c.recordChecked(server, answer, hasCrashed)
 	}
@@ -140,47 +144,76 @@
 	request := answer.request
 	switch {
 	case hasCrashed:
-		c.Log.Info().Str("id", request.ID).Str("server", server.Name).Str("content", request.ContentKey).Strs("prompt_parts", request.sharedPartKeys()).Msg("Backend server crashed during a request.")
-		c.Quarantine.RecordCrash(spokequarantine.Crash{Server: server.Name, Request: request.likeness(), Subjects: request.subjects()})
+		c.Log.Info().Str("id", request.ID).Str("server", server.Name).Int64("generation", server.Generation).Str("content", request.ContentKey).Strs("prompt_parts", request.sharedPartKeys()).Msg("Backend server crashed during a request.")
+		c.Quarantine.RecordCrash(spokequarantine.Crash{
+			Server: server.Name, Generation: server.Generation, Request: request.likeness(), Subjects: request.subjects(),
+			AnswerAge: c.answerAge(c.serviceState(request.Service.Name)),
+		})
 	case answer.isWhole:
-		c.Quarantine.RecordAnswer(request.subjects())
+		c.recordSoundAnswer(c.serviceState(request.Service.Name), request.subjects())
 	}
 }
 
+// recordSoundAnswer records a complete answer of a server of a service.
+func (c *Core) recordSoundAnswer(service *serviceState, subjects []spokequarantine.Subject) {
+	service.lastAnswerAt.Store(int64(c.Clock.Now()))
+	c.Quarantine.RecordAnswer(subjects)
+}
+
+// answerAge returns the time since the last complete answer of a service, or zero if there
+// was none.
+func (c *Core) answerAge(service *serviceState) spokeclock.Millis {
+	answeredAt := service.lastAnswerAt.Load()
+	if answeredAt == 0 {
+		return 0
+	}
+	return max(1, c.Clock.Now()-spokeclock.Millis(answeredAt))
+}
+
+// serverRun identifies one run of a server.
+type serverRun struct {
+	name       string
+	generation int64
+}
+
+func runOf(server spokecloud.Instance) serverRun {
+	return serverRun{name: server.Name, generation: server.Generation}
+}
+
 // crashChecks holds the checks of servers that are under way.
 type crashChecks struct {
 	mutex   sync.Mutex
-	pending map[string]*crashCheck
+	pending map[serverRun]*crashCheck
 }
 
-// crashCheck is the check of one server. Done is closed at its end.
+// crashCheck is the check of one run of a server. Done is closed at its end.
 type crashCheck struct {
 	answers []endedAnswer
 	done    chan struct{}
 }
 
-// add adds an answer and reports whether it is the first one of its server.
-func (c *crashChecks) add(server string, answer endedAnswer) (done <-chan struct{}, isFirst bool) {
+// add adds an answer and reports whether it is the first one of its server's run.
+func (c *crashChecks) add(run serverRun, answer endedAnswer) (done <-chan struct{}, isFirst bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.pending == nil {
-		c.pending = make(map[string]*crashCheck)
+		c.pending = make(map[serverRun]*crashCheck)
 	}
-	check, isPending := c.pending[server]
+	check, isPending := c.pending[run]
 	if !isPending {
 		check = &crashCheck{done: make(chan struct{})}
-		c.pending[server] = check
+		c.pending[run] = check
 	}
 	check.answers = append(check.answers, answer)
 	return check.done, !isPending
 }
 
-// take removes and returns the check of a server.
-func (c *crashChecks) take(server string) *crashCheck {
+// take removes and returns the check of a server's run.
+func (c *crashChecks) take(run serverRun) *crashCheck {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	check := c.pending[server]
-	delete(c.pending, server)
+	check := c.pending[run]
+	delete(c.pending, run)
 	return check
 }
 
--- a/spokescarcity/simulation_test.go
+++ b/spokescarcity/simulation_test.go
@@ -514,7 +514,7 @@
 	}
 	if a.tokens == r.TokensPerEvent {
 		a.firstAt = now
-		a.instance.registry.RecordLoad(e.name, spokeengine.Load{Slots: r.Slots, Running: len(e.running), Waiting: len(e.waiting), WorkTime: 100})
+		a.instance.registry.RecordLoad(e.name, 0, spokeengine.Load{Slots: r.Slots, Running: len(e.running), Waiting: len(e.waiting), WorkTime: 100})
 		r.record(a, spokescarcity.EventFirst)
 	}
 	a.attempt.RecordToken(a.tokens == r.TokensPerEvent)
