--- a/cmd/mulberryspoke/platform.go
+++ b/cmd/mulberryspoke/platform.go
@@ -78,6 +78,9 @@
 // Execute serves until the first SIGTERM or SIGINT, then shuts down gracefully.
 // The second one ends the process at once. SIGHUP reloads the settings.
 func (c *platformCommand) Execute([]string) error {
+	// Until it is registered here, SIGHUP would end the process.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	locality, err := c.Locality.settings()
 	if err != nil {
 		return err
@@ -107,8 +110,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go onSignals(cancel, func() { os.Exit(exitError) })
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	process := &platform.Process{Settings: settings, SettingsPath: c.SettingsPath, CallerLimits: limits, Locality: locality, SchedulesReturns: c.ReturnOrder == "schedule", Admission: c.admission(), ReloadSignals: reloads, Logs: logs.WithField("instance", settings.InstanceName)}
 	return process.Run(ctx)
 }
