scarcity: a ticket is called an admitted request

Cause: read as a newcomer, Ticket says nothing of what it is. Change: Ticket and the variables of its type are renamed. No behaviour changes; go test ./spokescarcity ./spokecore passes, the linter reports nothing.

--- a/spokecore/admission.go
+++ b/spokecore/admission.go
@@ -20,7 +20,7 @@
 	}
 	request := r.admissionRequest(decision)
 	verdict := r.core.AdmissionFunc(request)
-	r.admitted = verdict.Ticket()
+	r.admitted = verdict.AdmittedRequest()
 	if verdict.IsLate() {
 		r.urgencyStep = lateUrgencyStep
 	}
--- a/spokecore/admission_test.go
+++ b/spokecore/admission_test.go
@@ -58,13 +58,13 @@
 	if !c.IsShort {
 		return admission
 	}
-	var tickets []*spokescarcity.Ticket
+	var admitted []*spokescarcity.AdmittedRequest
 	for i := range 40 {
 		verdict := admission.Decide(spokescarcity.Request{Service: "s", Route: "r", Rank: c.Rank, Target: 100, Forecast: 10, EngineTime: 10, TimeLeft: 5000, CallerTimeLeft: 5000})
-		tickets = append(tickets, verdict.Ticket())
+		admitted = append(admitted, verdict.AdmittedRequest())
 		clock.Advance(50)
-		if i >= 6 && tickets[i-6] != nil {
-			admission.Record("s", tickets[i-6], spokescarcity.EventFirst)
+		if i >= 6 && admitted[i-6] != nil {
+			admission.Record("s", admitted[i-6], spokescarcity.EventFirst)
 		}
 	}
 	return admission
@@ -91,9 +91,9 @@
 			asked++
 			return admission.Decide(request)
 		}
-		core.RecordAdmittedFunc = func(service string, ticket *spokescarcity.Ticket, event spokescarcity.Event) {
+		core.RecordAdmittedFunc = func(service string, admitted *spokescarcity.AdmittedRequest, event spokescarcity.Event) {
 			events = append(events, event)
-			admission.Record(service, ticket, event)
+			admission.Record(service, admitted, event)
 		}
 	}
 	err := core.Serve(context.Background(), &spokecore.Request{
--- a/spokecore/core.go
+++ b/spokecore/core.go
@@ -82,7 +82,7 @@
 	AdmissionFunc func(request spokescarcity.Request) spokescarcity.Verdict
 	// RecordAdmittedFunc receives how requests go that AdmissionFunc has admitted. It must
 	// be set if AdmissionFunc is.
-	RecordAdmittedFunc func(service string, ticket *spokescarcity.Ticket, event spokescarcity.Event)
+	RecordAdmittedFunc func(service string, admitted *spokescarcity.AdmittedRequest, event spokescarcity.Event)
 	// RequestStartedFunc is called once for each request that a server has
 	// started to run. It may be nil.
 	RequestStartedFunc func(workspace string)
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -87,7 +87,7 @@
 	versionDraw   float64
 	failedVersion string
 	// admitted is what the decision of AdmissionFunc is told about the request, or nil.
-	admitted *spokescarcity.Ticket
+	admitted *spokescarcity.AdmittedRequest
 	// urgencyStep is added to the request's urgency at engines.
 	urgencyStep int
 	// isUnrecorded is whether the stream could not be recorded at that version.
--- a/spokescarcity/admission.go
+++ b/spokescarcity/admission.go
@@ -36,8 +36,8 @@
 }
 
 // Record records how an admitted request goes.
-func (a *Admission) Record(service string, ticket *Ticket, event Event) {
-	a.with(service, func(s *Service, now spokeclock.Millis) { s.Record(ticket, event, now) })
+func (a *Admission) Record(service string, admitted *AdmittedRequest, event Event) {
+	a.with(service, func(s *Service, now spokeclock.Millis) { s.Record(admitted, event, now) })
 }
 
 // with calls f with the state of a service and reports a change of it.
--- a/spokescarcity/bench_test.go
+++ b/spokescarcity/bench_test.go
@@ -24,15 +24,15 @@
 			for i := range workspaces {
 				workspaces[i] = fmt.Sprint(i)
 			}
-			tickets := make([]*spokescarcity.Ticket, 256)
+			admitted := make([]*spokescarcity.AdmittedRequest, 256)
 			b.ReportAllocs()
 			for i := range b.N {
 				request.Route, request.Workspace = routes[i%len(routes)], workspaces[i%len(workspaces)]
 				verdict := admission.Decide(request)
-				at := i % len(tickets)
-				recorded := verdict.Ticket()
+				at := i % len(admitted)
+				recorded := verdict.AdmittedRequest()
 				if isShort {
-					recorded, tickets[at] = tickets[at], recorded
+					recorded, admitted[at] = admitted[at], recorded
 				}
 				if recorded != nil {
 					admission.Record("s", recorded, spokescarcity.EventFirst)
--- a/spokescarcity/request.go
+++ b/spokescarcity/request.go
@@ -41,7 +41,7 @@
 	refusedPart float64
 	retryAfter  spokeclock.Millis
 	evidenceAge spokeclock.Millis
-	ticket      *Ticket
+	admitted    *AdmittedRequest
 }
 
 // IsRefused reports whether the request must not be sent.
@@ -70,8 +70,8 @@
 // EvidenceAge returns the time since the last first event, due or arrived.
 func (v Verdict) EvidenceAge() spokeclock.Millis { return v.evidenceAge }
 
-// Ticket returns what records how an admitted request goes. It may be nil.
-func (v Verdict) Ticket() *Ticket { return v.ticket }
+// AdmittedRequest returns what records how an admitted request goes. It may be nil.
+func (v Verdict) AdmittedRequest() *AdmittedRequest { return v.admitted }
 
 // Event is what happens to an admitted request.
 type Event int
--- a/spokescarcity/service.go
+++ b/spokescarcity/service.go
@@ -49,14 +49,14 @@
 	lowSince spokeclock.Millis
 	// pending are the admitted requests without a first event, and nextDue the time at which
 	// the first of them is overdue.
-	pending    []*Ticket
+	pending    []*AdmittedRequest
 	nextDue    spokeclock.Millis
 	routes     map[routeKey]*route
 	workspaces map[workspaceKey]*workspace
 }
 
-// Ticket is an admitted request until its first event.
-type Ticket struct {
+// AdmittedRequest is an admitted request until its first event.
+type AdmittedRequest struct {
 	route           *route
 	epoch           int
 	sentAt, dueAt   spokeclock.Millis
@@ -88,7 +88,7 @@
 // countOverdue counts requests whose first event is due and has not come.
 func (s *Service) countOverdue(now spokeclock.Millis) {
 	s.nextDue = math.MaxInt64
-	s.pending = slices.DeleteFunc(s.pending, func(t *Ticket) bool {
+	s.pending = slices.DeleteFunc(s.pending, func(t *AdmittedRequest) bool {
 		switch {
 		case t.isEnded:
 			return true
@@ -149,7 +149,7 @@
 	}
 	s.countChoice(request, r, excess, now)
 	if !s.isShort {
-		return Verdict{forecast: forecast, ticket: s.admit(request, r, now)}
+		return Verdict{forecast: forecast, admitted: s.admit(request, r, now)}
 	}
 	verdict := Verdict{isShort: true, isLate: isLate, forecast: forecast, evidenceAge: now - s.lastFirstAt}
 	switch {
@@ -166,7 +166,7 @@
 		}
 	}
 	if verdict.reason == "" {
-		verdict.ticket = s.admit(request, r, now)
+		verdict.admitted = s.admit(request, r, now)
 		return verdict
 	}
 	// Random numbers below refusedPart refuse, so that this one is again from 0 up to 1.
@@ -193,8 +193,8 @@
 	w.late.Add(over*float64(request.EngineTime), now)
 }
 
-func (s *Service) admit(request Request, r *route, now spokeclock.Millis) *Ticket {
-	t := &Ticket{epoch: s.epoch, route: r, sentAt: now, dueAt: now + request.Target, forecast: request.Forecast}
+func (s *Service) admit(request Request, r *route, now spokeclock.Millis) *AdmittedRequest {
+	t := &AdmittedRequest{epoch: s.epoch, route: r, sentAt: now, dueAt: now + request.Target, forecast: request.Forecast}
 	if len(s.pending) == 0 || t.dueAt < s.nextDue {
 		s.nextDue = t.dueAt + 1
 	}
@@ -204,7 +204,7 @@
 
 // Record records how an admitted request goes. A request that ends without a first event
 // shows nothing, unless that was overdue before.
-func (s *Service) Record(t *Ticket, event Event, now spokeclock.Millis) {
+func (s *Service) Record(t *AdmittedRequest, event Event, now spokeclock.Millis) {
 	s.advance(now)
 	switch {
 	case t.isEnded || t.epoch != s.epoch:
@@ -218,7 +218,7 @@
 	}
 }
 
-func (s *Service) recordFirst(t *Ticket, now spokeclock.Millis) {
+func (s *Service) recordFirst(t *AdmittedRequest, now spokeclock.Millis) {
 	t.isEnded = true
 	t.route.recordError(float64(now-t.sentAt)-t.forecast, now)
 	switch {
--- a/spokescarcity/service_test.go
+++ b/spokescarcity/service_test.go
@@ -67,8 +67,8 @@
 }
 
 type pendingAnswer struct {
-	at     spokeclock.Millis
-	ticket *spokescarcity.Ticket
+	at       spokeclock.Millis
+	admitted *spokescarcity.AdmittedRequest
 }
 
 // decisionCounts are the decisions on one kind's requests.
@@ -125,7 +125,7 @@
 		if a.at > r.now {
 			return false
 		}
-		r.service.Record(a.ticket, spokescarcity.EventFirst, r.now)
+		r.service.Record(a.admitted, spokescarcity.EventFirst, r.now)
 		return true
 	})
 }
@@ -150,7 +150,7 @@
 		if kind.Reason != "" {
 			require.Equal(t, kind.Reason, verdict.Reason())
 		}
-		require.Nil(t, verdict.Ticket())
+		require.Nil(t, verdict.AdmittedRequest())
 		require.Positive(t, verdict.RetryAfter())
 		require.LessOrEqual(t, verdict.RetryAfter(), max(1, kind.Left/3))
 		return
@@ -161,10 +161,10 @@
 	}
 	switch {
 	case kind.IsFull:
-		r.service.Record(verdict.Ticket(), spokescarcity.EventFull, r.now)
-		r.service.Record(verdict.Ticket(), spokescarcity.EventEnd, r.now)
+		r.service.Record(verdict.AdmittedRequest(), spokescarcity.EventFull, r.now)
+		r.service.Record(verdict.AdmittedRequest(), spokescarcity.EventEnd, r.now)
 	case kind.Answer > 0:
-		r.answers = append(r.answers, pendingAnswer{at: r.now + kind.Answer, ticket: verdict.Ticket()})
+		r.answers = append(r.answers, pendingAnswer{at: r.now + kind.Answer, admitted: verdict.AdmittedRequest()})
 	}
 }
 
@@ -181,8 +181,8 @@
 				verdict := admission.Decide(spokescarcity.Request{
 					Service: "s", Route: strconv.Itoa(i % 3), Workspace: strconv.Itoa(i), Target: 100, Forecast: 200, EngineTime: 10, TimeLeft: 5000, CallerTimeLeft: 5000,
 				})
-				if ticket := verdict.Ticket(); ticket != nil && n%2 == 0 {
-					admission.Record("s", ticket, spokescarcity.EventFirst)
+				if admitted := verdict.AdmittedRequest(); admitted != nil && n%2 == 0 {
+					admission.Record("s", admitted, spokescarcity.EventFirst)
 				}
 				clock.Advance(5)
 			}
--- a/spokescarcity/simulation_test.go
+++ b/spokescarcity/simulation_test.go
@@ -147,7 +147,7 @@
 	*simulatedCall
 	instance *simulatedInstance
 	attempt  *spokebackend.Attempt
-	ticket   *spokescarcity.Ticket
+	admitted *spokescarcity.AdmittedRequest
 	key      uint64
 	urgency  int
 	unread   int
@@ -411,7 +411,7 @@
 		EngineTime: a.instance.registry.EngineTime(simulatedService, decision.PrefillTokens(), kind.Events*r.TokensPerEvent, r.Slots),
 		TimeLeft:   left, CallerTimeLeft: left,
 	})
-	a.ticket = verdict.Ticket()
+	a.admitted = verdict.AdmittedRequest()
 	if verdict.IsLate() {
 		a.urgency++
 	}
@@ -453,8 +453,8 @@
 }
 
 func (r *simulationRun) record(a *simulatedAnswer, event spokescarcity.Event) {
-	if a.ticket != nil {
-		a.instance.admission.Record(simulatedService, a.ticket, event)
+	if a.admitted != nil {
+		a.instance.admission.Record(simulatedService, a.admitted, event)
 	}
 }
 
