--- a/spokeserve/plain.go
+++ b/spokeserve/plain.go
@@ -33,7 +33,7 @@
 	response spokeplain.Response
 	claim    claimState
 	details  *requestDetails
-	// holdFunc charges the bytes of the answer to the request\'s reservation.
+	// holdFunc charges the bytes of the answer to the request's reservation.
 	holdFunc spokehttp.HoldFunc
 }
 
