--- a/spokecore/admission.go
+++ b/spokecore/admission.go
@@ -46,14 +46,11 @@
 	request := spokescarcity.Request{
 		Service: r.request.Service.Name, Route: r.request.Route.Name, Workspace: r.request.workspaceName(), Priority: r.request.Route.Priority,
 		Target: r.request.Route.LatencyTarget, Forecast: decision.Cost(), TimeLeft: r.timeLeft(), CallerTimeLeft: r.callerTimeLeft(),
+		EngineTime: r.engineTime(decision.PrefillTokens()),
 	}
 	if r.request.Workspace != nil {
 		request.Rank = r.request.Workspace.EngineRank
 	}
-	if engine := r.request.Service.Engine; engine != nil {
-		answerTokens := r.service.answerLengths.expectedTokens(request.Route, r.request.AnswerTokens)
-		request.EngineTime = r.core.Registry.EngineTime(request.Service, decision.PrefillTokens(), answerTokens, engine.Slots)
-	}
 	return request
 }
 
--- a/spokecore/locality.go
+++ b/spokecore/locality.go
@@ -59,10 +59,9 @@
 		PromptTokens: r.request.PromptTokens, SharedPrefixTokens: r.sharedPrefixTokens, PrefixKey: r.prefixKey,
 	}
 	if engine := r.request.Service.Engine; engine != nil {
-		answerTokens := r.service.answerLengths.expectedTokens(r.request.Route.Name, r.request.AnswerTokens)
-		registry, service := r.core.Registry, r.request.Service.Name
-		kind.PrefillWork = float64(registry.EngineTime(service, r.request.PromptTokens-r.sharedPrefixTokens, 0, engine.Slots))
-		kind.Work = float64(registry.EngineTime(service, r.request.PromptTokens-r.sharedPrefixTokens, answerTokens, engine.Slots))
+		prefillTokens := r.request.PromptTokens - r.sharedPrefixTokens
+		kind.PrefillWork = float64(r.core.Registry.EngineTime(r.request.Service.Name, prefillTokens, 0, engine.Slots))
+		kind.Work = float64(r.engineTime(prefillTokens))
 	}
 	return kind
 }
--- a/spokecore/run.go
+++ b/spokecore/run.go
@@ -259,12 +259,21 @@
 // engine busy. It does so when the request is sent, as an overloaded service
 // answers fewer requests than it receives.
 func (r *requestRun) recordEngineTime() {
-	engine := r.request.Service.Engine
-	if engine == nil || r.core.AddEngineTimeFunc == nil || len(r.triedServers) > 1 {
+	if r.request.Service.Engine == nil || r.core.AddEngineTimeFunc == nil || len(r.triedServers) > 1 {
 		return
 	}
-	expectedTokens := r.service.answerLengths.expectedTokens(r.request.Route.Name, r.request.AnswerTokens)
-	r.core.AddEngineTimeFunc(r.request.Service.Name, r.core.Registry.EngineTime(r.request.Service.Name, r.prefillTokens, expectedTokens, engine.Slots))
+	r.core.AddEngineTimeFunc(r.request.Service.Name, r.engineTime(r.prefillTokens))
+}
+
+// engineTime returns the time for which the request is expected to keep an engine busy that
+// has to process prefillTokens of its prompt. It is zero if the service has no engines.
+func (r *requestRun) engineTime(prefillTokens int) spokeclock.Millis {
+	engine := r.request.Service.Engine
+	if engine == nil {
+		return 0
+	}
+	answerTokens := r.service.answerLengths.expectedTokens(r.request.Route.Name, r.request.AnswerTokens)
+	return r.core.Registry.EngineTime(r.request.Service.Name, prefillTokens, answerTokens, engine.Slots)
 }
 
 // recordAnswerLength updates the estimate of the route's answer lengths.
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -27,11 +27,12 @@
 	// a link target, if its data centre has others, and as a duty candidate that
 	// has not been contacted.
 	linkFailureExpiry = 5 * spokeclock.Second
-	// maxMissedHeartbeats is the number of heartbeats that a peer may miss before
-	// the timeout suspects it.
-	maxMissedHeartbeats = 5
 )
 
+// MaxMissedHeartbeats is the number of heartbeats that a peer may miss before the timeout
+// suspects it.
+const MaxMissedHeartbeats = 5
+
 // View is this instance's view of the other entry instances. Set its fields
 // before the first call. It is safe for concurrent use.
 type View struct {
@@ -149,7 +150,7 @@
 	now := v.Clock.Now()
 	p := v.ensurePeer(name)
 	if interval > 0 {
-		p.detector.Timeout = maxMissedHeartbeats * interval
+		p.detector.Timeout = MaxMissedHeartbeats * interval
 	}
 	p.detector.RecordHeartbeat(now)
 	p.lastSeenAt = now
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -25,18 +25,15 @@
 	interval spokeclock.Millis
 }
 
-const (
-	// maxSilentIntervals is the number of heartbeats that may be missing before a link
-	// counts as lost, the number after which a peer is suspected.
-	maxSilentIntervals = 5
-	// minLinkSilence is the least time for that, as an instance under load may be late.
-	minLinkSilence = 10 * spokeclock.Second
-)
+// minLinkSilence is the least time without a heartbeat after which a link counts as lost, as an
+// instance under load may be late.
+const minLinkSilence = 10 * spokeclock.Second
 
-// recordHeard reports that a message of the peer's link was accepted.
+// recordHeard reports that a message of the peer's link was accepted. The link counts as lost
+// after as many missing heartbeats as its peer is suspected.
 func (s *session) recordHeard() {
 	if s.node.LinkHeardFunc != nil {
-		s.node.LinkHeardFunc(s.conn, max(minLinkSilence, maxSilentIntervals*s.interval))
+		s.node.LinkHeardFunc(s.conn, max(minLinkSilence, spokemember.MaxMissedHeartbeats*s.interval))
 	}
 }
 
