http: a reset that a write has received does not look like the end of a response

What callers saw: a server answered a long upload at once with status 200 and no length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a connection (a reset, also a timeout of unacknowledged data) to one call only. If the blocked write gets it, the next read returns the end of the stream, which is the end of a response without a length. The write's error closed the connection too late: both goroutines wake up together.

Ruled out: responses with a length or chunks (they fail with an unexpected end, TestReset), an upload that the sockets hold (no write is blocked).

Change: spokehttp.Conn, the connection of all transports now, keeps the first error of a write. A read that gets the end of the stream ends a write in progress, waits for its error, and returns it if the connection was lost. A reset after the end of the stream is reported to a write as EPIPE (checked on real sockets), so that a complete early answer stays complete. spokehttp.Transport and Exchange take the place of the transports and of the tracker that platform had of its own. The connection is given to no other request until the head of its response has been judged.

--- a/spokeclaim/claims_test.go
+++ b/spokeclaim/claims_test.go
@@ -61,7 +61,7 @@
 	require.NoError(t, err)
 	go proxy.Serve(t.Context(), listener)
 	table := &spoketable.Table{URL: "http://" + listener.Addr().String(), Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
-	table.Client.Transport.(*http.Transport).MaxConnsPerHost = 1
+	table.Client.Transport.(*spokehttp.Transport).MaxConnsPerHost = 1
 	claims := &spokeclaim.Claims{Table: table, Owner: "a", Log: zerolog.Nop()}
 	go claims.Run(t.Context())
 	_, err = table.Read(t.Context(), "row")
--- a/spokehttp/client.go
+++ b/spokehttp/client.go
@@ -15,9 +15,6 @@
 	maxIdleConnections    = 4096
 	keepAliveInterval     = 5 * time.Second
 	connectionBufferBytes = 4 << 10
-	// MaxResponseHeaderBytes bounds the head of a response, so that a server that
-	// never ends one can't exhaust the memory.
-	MaxResponseHeaderBytes = 64 << 10
 )
 
 // errNotConnected marks a failure to connect, before any byte was sent.
@@ -35,17 +32,12 @@
 // NewNoKeepAliveClient. It is safe for concurrent use.
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	transport := &http.Transport{
-		DialContext:         DialFunc(dialer),
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      connectionBufferBytes,
-		WriteBufferSize:     connectionBufferBytes,
-
-		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
-	}
+	transport := NewTransport(DialFunc(dialer))
+	transport.MaxIdleConns = maxIdleConnections
+	transport.MaxIdleConnsPerHost = maxIdlePerHost
+	transport.IdleConnTimeout = idleTimeout
+	transport.ReadBufferSize = connectionBufferBytes
+	transport.WriteBufferSize = connectionBufferBytes
 	return &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
@@ -67,7 +59,7 @@
 // DialFunc returns a dial function for a transport. It marks its errors so that
 // KindOfFailure can distinguish a failure to connect from the failure of a
 // request that may have been sent.
-func DialFunc(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func DialFunc(dialer *net.Dialer) DialContextFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -82,6 +74,6 @@
 // again. It never does so on a new connection.
 func NewNoKeepAliveClient() *http.Client {
 	client := NewClient()
-	client.Transport.(*http.Transport).DisableKeepAlives = true
+	client.Transport.(*Transport).DisableKeepAlives = true
 	return client
 }
--- a/spokeobject/store_test.go
+++ b/spokeobject/store_test.go
@@ -32,3 +32,17 @@
 		require.Equal(t, "content of "+name, string(content))
 	}
 }
+
+// TestResetOfPut guards against an object that counts as written although the store reset the
+// connection while it was being sent.
+func TestResetOfPut(t *testing.T) {
+	server := &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\n\n", AnswersEarly: true, Ending: spokestandin.EndingReset, EndDelay: 5}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go server.Serve(listener)
+	store := &spokeobject.Store{URL: "http://" + listener.Addr().String(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
+	for range 10 {
+		require.Error(t, store.Put(t.Context(), "a", make([]byte, 12<<20)))
+	}
+}
--- a/spokeplain/plain_test.go
+++ b/spokeplain/plain_test.go
@@ -62,7 +62,7 @@
 // newSingleConnClient returns a client that opens no connection while it keeps one.
 func newSingleConnClient(address string) *spokeplain.Client {
 	client := spokehttp.NewClient()
-	client.Transport.(*http.Transport).MaxConnsPerHost = 1
+	client.Transport.(*spokehttp.Transport).MaxConnsPerHost = 1
 	return &spokeplain.Client{URL: "http://" + address, HTTPClient: client}
 }
 
--- a/spoketable/table_test.go
+++ b/spoketable/table_test.go
@@ -67,7 +67,7 @@
 	}
 	table := newTable("http://" + listener.Addr().String())
 	// The second call must not open a connection while the first one is kept.
-	table.Client.Transport.(*http.Transport).MaxConnsPerHost = 1
+	table.Client.Transport.(*spokehttp.Transport).MaxConnsPerHost = 1
 	proxy.SetFaults(spokestandin.ProxyFaults{LateCopies: 1})
 	setUnavailable(c.Unavailable)
 	c.First.run(ctx, table)
