http: a response has a status from 200 to 599

What callers saw: a server sent an answer whose status was 000. The handler passed it to net/http's server, which panics below 100: a log line of a panic and a closed connection; 600 to 999 and 100 to 199 spelled "+20" and the like reached callers as answers. An "Mulberryspoke-Not-Executed" beside such a status was believed as a refusal, and the JSON clients took 000 and 101 for success, as they asked only whether a status is below 300.

Cause: net/http's client accepts any three characters that parse as a number from 0, and nothing behind it asked.

Change: spokehttp.Transport, through which all responses are read, refuses the head and closes the connection. net/http hands on the connection of a response without a body before it returns it, so the next request waits for the judgement (Exchange), and a write to a closed connection no longer counts as sent, so that this request may go elsewhere.

--- a/spokehttp/conn.go
+++ b/spokehttp/conn.go
@@ -15,10 +15,11 @@
 // the connection in order. It is safe for one reader and one writer at a time.
 type Conn struct {
 	net.Conn
-	// writes counts the calls of Write, and requests the requests that were given the
-	// connection.
+	// writes counts the calls of Write that may have written something, and requests the
+	// requests that were given the connection.
 	writes   atomic.Int64
 	requests atomic.Int64
+	isClosed atomic.Bool
 	// turn is held by a request until its response has been judged.
 	turn sync.Mutex
 
@@ -29,6 +30,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
+	if c.isClosed.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writes.Add(1)
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -52,6 +56,12 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.isClosed.Store(true)
+	return c.Conn.Close()
+}
+
 // endWrites ends a write in progress, whose error may be that of the connection, and returns
 // the first error of a write. Nothing more has to be written once the stream has ended.
 func (c *Conn) endWrites() error {
--- a/spokehttp/transport.go
+++ b/spokehttp/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
 
 // MaxResponseHeaderBytes bounds the head of a response, together with those of the
@@ -12,11 +14,17 @@
 // the memory.
 const MaxResponseHeaderBytes = 64 << 10
 
+// The statuses that the response to a request may have.
+const (
+	minStatus = http.StatusOK
+	maxStatus = 599
+)
+
 // DialContextFunc connects to an address.
 type DialContextFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is a transport of net/http whose connections are of type Conn. All responses of
-// servers are read through it. It is safe for concurrent use.
+// Transport is a transport of net/http that returns well-formed responses only. All
+// responses of servers are read through it. It is safe for concurrent use.
 type Transport struct {
 	*http.Transport
 }
@@ -44,8 +52,34 @@
 	return t.Send(request.Context(), &exchange, request)
 }
 
-// Send sends a request with ctx as part of an exchange, which the caller ends. Its errors
-// are those of RoundTrip of net/http.
+// Send sends a request with ctx as part of an exchange, which the caller ends. It returns
+// the error of RoundTrip of net/http, or one of kind KindNoAnswer for a response that is not
+// well-formed, whose connection it closes.
 func (t *Transport) Send(ctx context.Context, exchange *Exchange, request *http.Request) (*http.Response, error) {
-	return t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, exchange.clientTrace())))
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, exchange.clientTrace())))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		_ = response.Body.Close()
+		exchange.CloseConn()
+		return nil, err
+	}
+	return response, nil
 }
+
+// IsStatus reports whether a response to a request may have a status. Informational
+// statuses precede a response, and no request asks to switch protocols.
+func IsStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
+// checkHead returns an error of kind KindNoAnswer for the head of a response that is not
+// well-formed although the HTTP library accepts it.
+func checkHead(response *http.Response) error {
+	if !IsStatus(response.StatusCode) {
+		return spokeerror.Newf("check response", KindNoAnswer, "the response has the status %.*q", maxExcerpt, response.Status)
+	}
+	return nil
+}
+
+// maxExcerpt bounds in characters what an error quotes of a response.
+const maxExcerpt = 64
--- /dev/null
+++ b/spokehttp/transport_test.go
@@ -0,0 +1,129 @@
+package spokehttp_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mulberryspoke.example/mulberryspoke/spokecase"
+	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokestandin"
+)
+
+type headCase struct {
+	Name string `yaml:"name"`
+	// Head is the raw head of a response whose body has two bytes, with LF line endings.
+	Head string `yaml:"head"`
+	// Refused means that the response is not well-formed.
+	Refused bool `yaml:"refused"`
+}
+
+// TestHeads calls a server whose responses differ in their heads only, by each way in which
+// this package reads a response.
+func TestHeads(t *testing.T) {
+	client := spokehttp.NewClient()
+	calls := map[string]func(url string) error{
+		"get": func(url string) error {
+			_, err := spokehttp.GetJSON[struct{}](t.Context(), client, url)
+			return err
+		},
+		"post": func(url string) error {
+			_, err := spokehttp.PostJSON[struct{}](t.Context(), client, url, struct{}{})
+			return err
+		},
+		"get if changed": func(url string) error {
+			_, _, err := spokehttp.GetJSONIfChanged[struct{}](t.Context(), client, url, "tag")
+			return err
+		},
+	}
+	for _, c := range spokecase.Read[[]headCase](t, "testdata/heads.yaml") {
+		for name, call := range calls {
+			t.Run(c.Name+"/"+name, func(t *testing.T) {
+				url := startRawServer(t, &spokestandin.RawServer{Answer: c.Head + "Content-Length: 2\n\n{}"})
+				err := call(url)
+				if c.Refused {
+					require.Equal(t, spokehttp.KindNoAnswer, spokeerror.KindOf[spokehttp.Kind](err), "%v", err)
+				} else {
+					require.NoError(t, err)
+				}
+			})
+		}
+	}
+}
+
+func startRawServer(t *testing.T, server *spokestandin.RawServer) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go server.Serve(listener)
+	return "http://" + listener.Addr().String()
+}
+
+// TestConnectionOfRefusedResponse guards against a request on the connection of a response
+// that is then refused. The HTTP library hands on the connection before it returns a response
+// without a body.
+func TestConnectionOfRefusedResponse(t *testing.T) {
+	server := &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\nContent-Length: 0\n\n"}
+	url := startRawServer(t, server)
+	transport := spokehttp.NewTransport((&net.Dialer{}).DialContext)
+	// The second request waits for the connection of the first.
+	transport.MaxConnsPerHost = 1
+	var first, second spokehttp.Exchange
+	response, err := transport.Send(t.Context(), &first, newUpload(t, url))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	sent := make(chan error, 1)
+	go func() {
+		defer second.End()
+		response, err := transport.Send(t.Context(), &second, newUpload(t, url))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		sent <- err
+	}()
+	time.Sleep(blockTime)
+	require.Equal(t, 1, server.RequestCount(), "requests before the first response has been judged")
+	first.CloseConn()
+	first.End()
+	require.NoError(t, <-sent)
+	require.Equal(t, 2, server.RequestCount())
+	require.Zero(t, server.ReuseCount(), "requests on the connection of a refused response")
+}
+
+// TestUnsentRequest guards against a request that counts as sent although its connection was
+// closed before, so that a request that may run once would not be sent to another server.
+func TestUnsentRequest(t *testing.T) {
+	url := startRawServer(t, &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\nContent-Length: 0\n\n"})
+	transport := spokehttp.NewTransport((&net.Dialer{}).DialContext)
+	transport.MaxConnsPerHost = 1
+	var first, second spokehttp.Exchange
+	response, err := transport.Send(t.Context(), &first, newUpload(t, url))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	unsent := make(chan bool, 1)
+	go func() {
+		defer second.End()
+		request := newUpload(t, url)
+		request.GetBody = nil
+		response, err := transport.Send(t.Context(), &second, request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		unsent <- err != nil && second.IsUnsent(t.Context())
+	}()
+	time.Sleep(blockTime)
+	first.CloseConn()
+	first.End()
+	require.True(t, <-unsent)
+}
+
+func newUpload(t *testing.T, url string) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader("request"))
+	require.NoError(t, err)
+	return request
+}
--- a/spokestandin/rawserver.go
+++ b/spokestandin/rawserver.go
@@ -49,6 +49,7 @@
 	SmallAnswer string `yaml:"small_answer"`
 
 	requests    atomic.Int64
+	reuses      atomic.Int64
 	connections atomic.Int64
 	sentBytes   atomic.Int64
 }
@@ -59,6 +60,10 @@
 // ConnectionCount returns the number of connections that were accepted.
 func (s *RawServer) ConnectionCount() int { return int(s.connections.Load()) }
 
+// ReuseCount returns the number of requests that arrived on a connection after Answer had
+// been sent on it.
+func (s *RawServer) ReuseCount() int { return int(s.reuses.Load()) }
+
 // SentBytes returns the number of bytes of answers that were written.
 func (s *RawServer) SentBytes() int64 { return s.sentBytes.Load() }
 
@@ -77,17 +82,21 @@
 func (s *RawServer) serveConn(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for {
+	for hasAnswered := false; ; {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		s.requests.Add(1)
+		if hasAnswered {
+			s.reuses.Add(1)
+		}
 		if s.SmallAnswer != "" && request.ContentLength == smallRequestBytes {
 			_, _ = io.Copy(io.Discard, request.Body)
 			s.write(conn, s.SmallAnswer)
 			continue
 		}
+		hasAnswered = true
 		if !s.answer(conn, request) {
 			return
 		}
