plain, claim: a reported or recorded response has a status from 200 to 599

What callers would see: a server's report of an attempt, or the record of a response in the table, with the status 0 reached the caller as 200, and one of 1000 as a panic of the handler. Found by looking where a status is read other than from a response's head.

Cause: the status is a number in a JSON body there.

Change: such a report leaves the outcome unknown, and such a record counts as one that can't be read; the request has run, and neither promises otherwise.

--- a/spokeclaim/claims.go
+++ b/spokeclaim/claims.go
@@ -259,10 +259,13 @@
 }
 
 // RecordedResponse returns the recorded response of a claim in StateDone. It
-// returns an error of kind KindUnavailable if the object store cannot be read, or holdFunc
-// doesn't allow to hold the response.
+// returns an error of kind KindUnavailable if the object store cannot be read, the record
+// holds no valid response, or holdFunc doesn't allow to hold the response.
 func (c *Claim) RecordedResponse(ctx context.Context, holdFunc spokehttp.HoldFunc) (spokeplain.Response, error) {
 	response := c.record.Response
+	if !spokehttp.IsStatus(response.Status) {
+		return spokeplain.Response{}, spokeerror.Newf("read recorded response", KindUnavailable, "the record has the status %d", response.Status)
+	}
 	if c.record.ObjectName == "" {
 		return response, nil
 	}
--- a/spokeclaim/claims_test.go
+++ b/spokeclaim/claims_test.go
@@ -79,3 +79,21 @@
 	require.NoError(t, err)
 	require.Equal(t, spokeclaim.StateDone, record.State)
 }
+
+// TestRecordedStatus guards against a recorded response whose status no response may have.
+func TestRecordedStatus(t *testing.T) {
+	server := httptest.NewServer((&spokestandin.TableService{}).Handler())
+	defer server.Close()
+	table := &spoketable.Table{URL: server.URL, Client: spokehttp.NewClient(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
+	claims := &spokeclaim.Claims{Table: table, Owner: "a", Log: zerolog.Nop()}
+	go claims.Run(t.Context())
+	for row, status := range map[string]int{"zero": 0, "switch": http.StatusSwitchingProtocols, "least": http.StatusOK, "greatest": 599, "large": 600} {
+		result, err := claims.Acquire(t.Context(), row, spokeclaim.Record{AttemptID: row, Server: "x"})
+		require.NoError(t, err)
+		result.Acquired().RecordResponse(t.Context(), spokeplain.Response{Status: status}, func() {})
+		require.NoError(t, claims.WaitPending(t.Context()))
+		require.NoError(t, result.Acquired().Reload(t.Context()))
+		_, err = result.Acquired().RecordedResponse(t.Context(), nil)
+		require.Equal(t, spokehttp.IsStatus(status), err == nil, "status %d: %v", status, err)
+	}
+}
--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -227,5 +227,8 @@
 	if report.AttemptID != attemptID {
 		return AttemptReport{}, spokeerror.Newf("seal attempt", KindWrongAttempt, "the report is of attempt %q", report.AttemptID)
 	}
+	if report.Finished && !spokehttp.IsStatus(report.Response.Status) {
+		return AttemptReport{}, spokeerror.Newf("seal attempt", KindOutcomeUnknown, "the report has the status %d", report.Response.Status)
+	}
 	return report, nil
 }
