http: a response has version 1.0 or 1.1

A server that is in trouble could begin its answer with another version: HTTP/0.9 200 OK or HTTP/2.0 200 OK reached the caller as an answer, as net/http's client takes any version with two digits. Only versions 1.0 and 1.1 are spoken to servers, so that such bytes are no answer.

--- a/spokehttp/transport.go
+++ b/spokehttp/transport.go
@@ -76,6 +76,9 @@
 // checkHead returns an error of kind KindNoAnswer for the head of a response that is not
 // well-formed although the HTTP library accepts it.
 func checkHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return spokeerror.Newf("check response", KindNoAnswer, "the response has the version %.*q", maxExcerpt, response.Proto)
+	}
 	if !IsStatus(response.StatusCode) {
 		return spokeerror.Newf("check response", KindNoAnswer, "the response has the status %.*q", maxExcerpt, response.Status)
 	}
