operate, load, demo, measure, stand-ins: answers are read through the shared transport

What an operator saw: an answer of an entry instance that is not well-formed, or whose body broke off behind a complete JSON value, passed for an answer. The same clients served the demo's readiness probes, the metrics that experiments read, calls between stand-ins and the example.

Cause: they used http.DefaultClient, so that none of the checks of spokehttp.Transport applied. goa's decoders stop at the end of the value and never see that the body broke off.

Change: all of them use spokehttp.Transport (the operators' client with a longer time to connect and the environment's proxy, as before). The operators' client reads the whole body before it decodes it. Metrics are read only from an answer with status 200 that is whole.

The load tool's client was the shared one already.

--- a/examples/question/main.go
+++ b/examples/question/main.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"os"
+
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 )
 
 // chatRequest is the body of a chat request.
@@ -52,7 +54,7 @@
 		return err
 	}
 	request.Header.Set("Authorization", "Bearer demo-key-crews")
-	response, err := http.DefaultClient.Do(request)
+	response, err := spokehttp.NewClient().Do(request)
 	if err != nil {
 		return err
 	}
--- a/spokedemo/apply.go
+++ b/spokedemo/apply.go
@@ -8,6 +8,7 @@
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeoperate"
 )
 
@@ -25,8 +26,9 @@
 func (l *LocalDeployment) waitReady(ctx context.Context) error {
 	waitCtx, cancel := context.WithTimeout(ctx, readyTimeout.Duration())
 	defer cancel()
+	client := spokehttp.NewClient()
 	for _, url := range l.CallerURLs() {
-		for !isReady(waitCtx, url) {
+		for !isReady(waitCtx, client, url) {
 			if spokeclock.Sleep(waitCtx, readyPollInterval) != nil {
 				return spokeerror.Newf("wait for entry instance", KindStartFailed, "%s is not ready in time", url)
 			}
@@ -35,12 +37,12 @@
 	return nil
 }
 
-func isReady(ctx context.Context, url string) bool {
+func isReady(ctx context.Context, client *http.Client, url string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/ready", http.NoBody)
 	if err != nil {
 		return false
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return false
 	}
--- a/spokemeasure/testbed.go
+++ b/spokemeasure/testbed.go
@@ -12,6 +12,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokedemo"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeload"
 	"mulberryspoke.example/mulberryspoke/spokelog"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
@@ -27,6 +28,8 @@
 	// startupDelay is the time between the start of a deployment and its first
 	// request.
 	startupDelay = 2 * spokeclock.Second
+	// maxMetricsBytes is the part of the metrics of an instance that is read.
+	maxMetricsBytes = 1 << 20
 )
 
 // setup describes the deployment of an experiment.
@@ -163,18 +166,21 @@
 
 // sumMetric returns the sum of a metric over the entry instances that respond.
 func (b *testbed) sumMetric(ctx context.Context, name string) float64 {
-	sum := 0.0
+	sum, client := 0.0, spokehttp.NewClient()
 	for _, url := range b.deployment.OperatorURLs() {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/metrics", http.NoBody)
 		if err != nil {
 			continue
 		}
-		response, err := http.DefaultClient.Do(request)
+		response, err := client.Do(request)
 		if err != nil {
 			continue
 		}
-		text, _ := io.ReadAll(response.Body)
+		text, err := io.ReadAll(io.LimitReader(response.Body, maxMetricsBytes))
 		_ = response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK {
+			continue
+		}
 		sum += metricValue(string(text), name)
 	}
 	return sum
--- a/spokeoperate/client.go
+++ b/spokeoperate/client.go
@@ -1,8 +1,11 @@
 package spokeoperate
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/url"
 
@@ -13,7 +16,9 @@
 	queryclient "mulberryspoke.example/mulberryspoke/gen/http/query/client"
 	"mulberryspoke.example/mulberryspoke/gen/query"
 	"mulberryspoke.example/mulberryspoke/gen/types"
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 )
 
 // Kind is the kind of an error of this package.
@@ -29,6 +34,45 @@
 // NewestRevision is the base revision that means the newest one.
 const NewestRevision = -1
 
+const (
+	dialTimeout = 30 * spokeclock.Second
+	idleTimeout = 30 * spokeclock.Second
+	// maxResponseBytes bounds what a response may take in memory.
+	maxResponseBytes = 64 << 20
+)
+
+// httpClient is used by all clients.
+var httpClient = newHTTPClient()
+
+func newHTTPClient() *http.Client {
+	transport := spokehttp.NewTransport((&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext)
+	transport.Proxy = http.ProxyFromEnvironment
+	transport.IdleConnTimeout = idleTimeout.Duration()
+	return &http.Client{Transport: transport}
+}
+
+// newResponseDecoder returns a decoder of a whole body. The decoders of goa stop at the end of
+// the value, so that a body that breaks off behind it would count as complete.
+func newResponseDecoder(response *http.Response) goahttp.Decoder {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(text) > maxResponseBytes {
+		err = spokeerror.Newf("read response", KindUnreachable, "the response is longer than %d bytes", maxResponseBytes)
+	}
+	if err != nil {
+		return failedDecoder{err}
+	}
+	response.Body = io.NopCloser(bytes.NewReader(text))
+	return goahttp.ResponseDecoder(response)
+}
+
+// failedDecoder is the decoder of a body that could not be read.
+type failedDecoder struct {
+	err error
+}
+
+// Decode implements goahttp.Decoder.
+func (d failedDecoder) Decode(any) error { return d.err }
+
 // Client calls the operators' API of one entry instance. It is safe for
 // concurrent use.
 type Client struct {
@@ -44,8 +88,8 @@
 	if err != nil {
 		parsed = &url.URL{Scheme: "http", Host: operatorURL}
 	}
-	commands := commandclient.NewClient(parsed.Scheme, parsed.Host, http.DefaultClient, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
-	queries := queryclient.NewClient(parsed.Scheme, parsed.Host, http.DefaultClient, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	commands := commandclient.NewClient(parsed.Scheme, parsed.Host, httpClient, goahttp.RequestEncoder, newResponseDecoder, false)
+	queries := queryclient.NewClient(parsed.Scheme, parsed.Host, httpClient, goahttp.RequestEncoder, newResponseDecoder, false)
 	return &Client{
 		authorization: "Bearer " + key,
 		command:       command.NewClient(commands.Apply(), commands.Mark()),
--- a/spokestandin/cloud.go
+++ b/spokestandin/cloud.go
@@ -172,6 +172,9 @@
 	c.killInstance(instance)
 }
 
+// standinClient sends the calls of stand-ins to each other.
+var standinClient = spokehttp.NewClient()
+
 func (c *CloudAPI) killInstance(instance spokecloud.Instance) {
 	if c.KillFunc != nil {
 		c.KillFunc(instance)
@@ -179,7 +182,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), spokeclock.Second.Duration())
 	defer cancel()
-	_, _ = spokehttp.PostJSON[struct{}](ctx, http.DefaultClient, "http://"+instance.Address+"/control/exit", struct{}{})
+	_, _ = spokehttp.PostJSON[struct{}](ctx, standinClient, "http://"+instance.Address+"/control/exit", struct{}{})
 }
 
 func (c *CloudAPI) removeInstance(name string) {
--- a/spokestandin/engineservice.go
+++ b/spokestandin/engineservice.go
@@ -131,7 +131,7 @@
 }
 
 func (e *Engine) importCache(ctx context.Context, request spokeengine.CacheMoveRequest) (spokeengine.KVCache, error) {
-	cache, err := spokehttp.PostJSON[spokeengine.KVCache](ctx, http.DefaultClient, request.Source+"/v1/kv/export", request)
+	cache, err := spokehttp.PostJSON[spokeengine.KVCache](ctx, standinClient, request.Source+"/v1/kv/export", request)
 	if err != nil {
 		return spokeengine.KVCache{}, &spokehttp.StatusError{Code: http.StatusBadGateway, Body: err.Error()}
 	}
