http, core: heads and events are charged to the memory budget

What operators saw elsewhere, and what could happen here: a server sent bytes that were no answer, without end.

Change: Conn charges a head beyond 8 KB, with the informational ones before it, as it arrives, and ReadEvents an event beyond 8 KB, both to the reservation of the caller's request, which is released when that ends. What does not fit ends the answer.

Already handled: bodies (buffered parts are charged, the rest is forwarded), chunk extensions and trailers (net/http's bounds, 4 KB and 16 KB), bytes that are no answer.

TestHeadCharge checks what is charged.

--- a/spokecore/admission_test.go
+++ b/spokecore/admission_test.go
@@ -108,7 +108,7 @@
 				return nil, spokeerror.New("send", spokecore.KindNotRun, nil)
 			}
 			body := strings.NewReader("id: 7\ndata: x\n\n")
-			return &spokecore.Response{Body: io.NopCloser(body), EventsFunc: spokecore.ReadEvents(body)}, nil
+			return &spokecore.Response{Body: io.NopCloser(body), EventsFunc: spokecore.ReadEvents(body, nil)}, nil
 		},
 		WriteHeadFunc: func(*spokecore.Response, int64) {},
 		WriteBodyFunc: func([]byte) error { return nil },
--- a/spokecore/answer.go
+++ b/spokecore/answer.go
@@ -216,11 +216,12 @@
 // handle with each complete event and stops at the first error of the body or
 // of handle. A body that ends inside an event ends with io.ErrUnexpectedEOF. Text
 // that is no event, such as a second answer in a stream, ends it with an error of kind
-// KindInvalidAnswer. ExtraFields are the fields that events may have besides those of
+// KindInvalidAnswer. HoldFunc asks whether a number of bytes more may be held for an event; nil
+// means that they may. ExtraFields are the fields that events may have besides those of
 // the format.
-func ReadEvents(body io.Reader, extraFields ...string) func(handle func(Event) error) error {
+func ReadEvents(body io.Reader, holdFunc func(bytes int) bool, extraFields ...string) func(handle func(Event) error) error {
 	return func(handle func(Event) error) error {
-		events := eventReader{source: body}
+		events := eventReader{source: body, holdFunc: holdFunc, held: freeEventBytes}
 		for prefix := byteOrderMark; ; prefix = nil {
 			raw, err := events.next()
 			if errors.Is(err, io.EOF) {
@@ -243,9 +244,18 @@
 // byteOrderMark may precede the first event of a stream.
 var byteOrderMark = []byte("\xEF\xBB\xBF")
 
-const eventBufferBytes = 4 << 10
+const (
+	eventBufferBytes = 4 << 10
+	// freeEventBytes is the length up to which an event may be held in any case.
+	freeEventBytes = 8 << 10
+	// eventGrowthFactor is what a byte of the buffer takes while it grows, as it is copied.
+	eventGrowthFactor = 2
+)
 
-var errEventTooLong = errors.New("the event has no end within the limit")
+var (
+	errEventTooLong = errors.New("the event has no end within the limit")
+	errEventNotHeld = errors.New("there is no memory for the event")
+)
 
 // eventReader splits a body into events, each with the blank line that ends it.
 type eventReader struct {
@@ -256,6 +266,9 @@
 	lineStart int
 	chunk     []byte
 	readErr   error
+	// held is the length up to which an event may be buffered by now.
+	held     int
+	holdFunc func(bytes int) bool
 }
 
 // firstEventLength returns the length in bytes of the first buffered event,
@@ -275,8 +288,8 @@
 }
 
 // next returns the next event, which is valid until the next call. It returns
-// io.EOF at the end of a body that ends with a complete event, and errEventTooLong
-// for an event of more than maxEventBytes.
+// io.EOF at the end of a body that ends with a complete event, errEventTooLong
+// for an event of more than maxEventBytes, and errEventNotHeld for one that may not be held.
 func (e *eventReader) next() ([]byte, error) {
 	if e.chunk == nil {
 		e.chunk = make([]byte, eventBufferBytes)
@@ -300,11 +313,27 @@
 			return nil, e.finalError()
 		}
 		n, err := e.source.Read(e.chunk)
+		if !e.mayHold(len(e.buffered) + n) {
+			return nil, errEventNotHeld
+		}
 		e.buffered = append(e.buffered, e.chunk[:n]...)
 		e.readErr = err
 	}
 }
 
+// mayHold reports whether an event may be buffered up to a length.
+func (e *eventReader) mayHold(length int) bool {
+	if length <= e.held || e.holdFunc == nil {
+		return true
+	}
+	next := max(length, 2*e.held)
+	if !e.holdFunc(eventGrowthFactor * (next - e.held)) {
+		return false
+	}
+	e.held = next
+	return true
+}
+
 // endsWithBlankLines reports whether only blank lines are left of a body that has ended.
 func (e *eventReader) endsWithBlankLines() bool {
 	return errors.Is(e.readErr, io.EOF) && len(e.buffered) > 0 && len(bytes.Trim(e.buffered, "\r\n")) == 0
--- a/spokecore/core_test.go
+++ b/spokecore/core_test.go
@@ -161,7 +161,7 @@
 	}
 	response := &spokecore.Response{ServerFailed: b.Failed, Replayed: b.Recorded, Body: io.NopCloser(body)}
 	if strings.Contains(b.Body, "id:") {
-		response.EventsFunc = spokecore.ReadEvents(body)
+		response.EventsFunc = spokecore.ReadEvents(body, nil)
 	}
 	return response, nil
 }
--- a/spokecore/locality_test.go
+++ b/spokecore/locality_test.go
@@ -137,7 +137,7 @@
 				return nil, spokeerror.New("send", spokecore.KindNotSent, nil)
 			}
 			r.served[attempt.Server.DataCentre]++
-			return &spokecore.Response{Body: io.NopCloser(strings.NewReader("")), EventsFunc: spokecore.ReadEvents(strings.NewReader(answerText))}, nil
+			return &spokecore.Response{Body: io.NopCloser(strings.NewReader("")), EventsFunc: spokecore.ReadEvents(strings.NewReader(answerText), nil)}, nil
 		},
 		WriteHeadFunc: func(*spokecore.Response, int64) {},
 		WriteBodyFunc: func([]byte) error { return nil },
--- a/spokehttp/exchange.go
+++ b/spokehttp/exchange.go
@@ -9,6 +9,10 @@
 // connection is given to no other request before End. The zero value is ready for use. It
 // belongs to one goroutine.
 type Exchange struct {
+	// HoldFunc asks whether a head may be held that is longer than usual. It is not called
+	// after End. Nil means that it may.
+	HoldFunc HoldFunc
+
 	conn         *Conn
 	writesBefore int64
 	// requestNumber is the request's place among those of the connection, from 1.
@@ -33,7 +37,7 @@
 	e.conn, e.hasTurn = conn, true
 	e.writesBefore = conn.writes.Load()
 	e.requestNumber = conn.requests.Add(1)
-	conn.head.begin()
+	conn.head.begin(e.HoldFunc)
 }
 
 // End lets the connection be used for another request. Only the first call has an effect.
--- a/spokehttp/head.go
+++ b/spokehttp/head.go
@@ -11,9 +11,17 @@
 // status, as in "HTTP/1.1 1".
 const statusPrefixBytes = 10
 
-// headScanner looks in the head of a response, as it arrives, for folded lines, which the
-// HTTP library joins to the value of the field before. The zero value scans nothing. It is
-// safe for concurrent use.
+const (
+	// freeHeadBytes is the length up to which a head may be held in any case.
+	freeHeadBytes = 8 << 10
+	// parsedHeadFactor is what a byte of a head of many short fields takes once it is parsed.
+	parsedHeadFactor = 32
+)
+
+// headScanner reads along with the head of a response as it arrives, together with the
+// informational responses before it. It charges what the head takes in memory, and looks for
+// folded lines, which the HTTP library joins to the value of the field before. The zero value
+// scans nothing. It is safe for concurrent use.
 type headScanner struct {
 	mutex    sync.Mutex
 	isActive bool
@@ -25,13 +33,17 @@
 	// it is empty so far but for its ending.
 	isLineStart bool
 	isBlank     bool
+	// received is the number of bytes of the head so far, and holdFunc charges them.
+	received int
+	holdFunc HoldFunc
 }
 
-// begin starts the scan of the next head.
-func (h *headScanner) begin() {
+// begin starts the scan of the next head, which is charged by holdFunc until end.
+func (h *headScanner) begin(holdFunc HoldFunc) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.isActive = true
+	h.received, h.holdFunc = 0, holdFunc
 	h.beginHead()
 }
 
@@ -44,13 +56,28 @@
 func (h *headScanner) end() {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.isActive = false
+	h.isActive, h.holdFunc = false, nil
 }
 
-// scan scans what has arrived. It returns an error of kind KindNoAnswer for a folded line.
+// scan scans what has arrived. It returns ErrNotHeld for a head that may not be held, and an
+// error of kind KindNoAnswer for a folded line.
 func (h *headScanner) scan(data []byte) error {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if h.isActive && !h.mayHold(len(data)) {
+		return ErrNotHeld
+	}
+	return h.scanLines(data)
+}
+
+// mayHold reports whether n bytes more may be held.
+func (h *headScanner) mayHold(n int) bool {
+	h.received += n
+	charged := min(n, h.received-freeHeadBytes)
+	return charged <= 0 || h.holdFunc == nil || h.holdFunc(parsedHeadFactor*charged)
+}
+
+func (h *headScanner) scanLines(data []byte) error {
 	for h.isActive && len(data) > 0 {
 		line, rest, isWhole := bytes.Cut(data, []byte("\n"))
 		if h.hasStatus && h.isLineStart && (data[0] == ' ' || data[0] == '\t') {
--- a/spokehttp/head_test.go
+++ b/spokehttp/head_test.go
@@ -34,7 +34,7 @@
 // scanAll scans the parts of a text and reports whether a line of a head is folded.
 func scanAll(parts ...string) bool {
 	var head headScanner
-	head.begin()
+	head.begin(nil)
 	for _, part := range parts {
 		if head.scan([]byte(part)) != nil {
 			return true
@@ -42,3 +42,31 @@
 	}
 	return false
 }
+
+// TestHeadCharge checks what the heads of a connection are charged.
+func TestHeadCharge(t *testing.T) {
+	held, limit := 0, parsedHeadFactor<<10
+	holdFunc := func(bytes int) bool {
+		if held+bytes > limit {
+			return false
+		}
+		held += bytes
+		return true
+	}
+	var head headScanner
+	for range 2 {
+		head.begin(holdFunc)
+		require.NoError(t, head.scan(make([]byte, freeHeadBytes)))
+		require.Zero(t, held, "a head of the usual length")
+		head.end()
+	}
+	head.begin(holdFunc)
+	require.NoError(t, head.scan(make([]byte, freeHeadBytes+100)))
+	require.Equal(t, 100*parsedHeadFactor, held)
+	require.NoError(t, head.scan(make([]byte, 900)))
+	require.Equal(t, 1000*parsedHeadFactor, held)
+	require.ErrorIs(t, head.scan(make([]byte, 100)), ErrNotHeld)
+	head.end()
+	require.NoError(t, head.scan(make([]byte, 100)), "a body")
+	require.Equal(t, 1000*parsedHeadFactor, held)
+}
--- a/spokememory/budget.go
+++ b/spokememory/budget.go
@@ -20,8 +20,8 @@
 	KindWorkspaceShare Kind = "workspace_share"
 	// KindEvicted means that the body arrived too slowly and has lost its bytes.
 	KindEvicted Kind = "evicted"
-	// KindAnswer means that an answer was not buffered further, for want of room. It is
-	// forwarded as it comes.
+	// KindAnswer means that an answer was not buffered further, for want of room. The rest of
+	// its body is forwarded as it comes. A head or an event that doesn't fit ends the answer.
 	KindAnswer Kind = "answer_not_buffered"
 	// KindTooLarge means that a body is longer than a request's body may be.
 	KindTooLarge Kind = "too_large"
