engine, plain, serve: answers on the own front are charged to the memory budget

What could happen: a faulty engine or plain server of the product's own interface sent heads, errors or tokens without end, or a report of its load of up to 64 MB. An instance of 144 MB with 400 requests at a time took 414 MB.

A JSON response that is longer than 64 MB is refused; it was decoded up to there.

--- a/spokehttp/client.go
+++ b/spokehttp/client.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// ChargeResponses makes clients charge the responses to requests without a HoldFunc.
+func ChargeResponses(openFunc OpenHoldFunc, clients ...*http.Client) {
+	for _, client := range clients {
+		client.Transport.(*Transport).OpenHoldFunc = openFunc
+	}
+}
+
 // KindOfFailure returns KindNotSent if a failed round trip is certain to have
 // sent nothing, and KindNoAnswer if the request may have taken effect. It must not be
 // used for a request that net/http sends again, such as a GET on a reused connection.
--- a/spokehttp/codec.go
+++ b/spokehttp/codec.go
@@ -30,7 +30,9 @@
 )
 
 const (
-	maxBodyBytes    = 64 << 20
+	maxBodyBytes = 64 << 20
+	// maxErrorBytes is the part of the body of an error response that is kept.
+	maxErrorBytes   = 4 << 10
 	contentTypeJSON = "application/json"
 )
 
@@ -119,12 +121,19 @@
 		return decoded, nil, spokeerror.New("call", KindOfFailure(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if response.StatusCode >= http.StatusMultipleChoices {
+		text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+		if err != nil {
+			return decoded, nil, spokeerror.New("read response", KindNoAnswer, err)
+		}
+		return decoded, nil, spokeerror.New("call", KindRefused, &StatusError{Code: response.StatusCode, Body: string(text)})
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
 	if err != nil {
 		return decoded, nil, spokeerror.New("read response", KindNoAnswer, err)
 	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return decoded, nil, spokeerror.New("call", KindRefused, &StatusError{Code: response.StatusCode, Body: string(text)})
+	if len(text) > maxBodyBytes {
+		return decoded, nil, spokeerror.Newf("read response", KindNoAnswer, "the response is longer than %d bytes", maxBodyBytes)
 	}
 	if len(text) == 0 {
 		return decoded, response.Header, nil
--- a/spokehttp/held.go
+++ b/spokehttp/held.go
@@ -1,15 +1,36 @@
 package spokehttp
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 )
 
 // HoldFunc asks whether a number of bytes more of a response may be held in memory. A nil
 // HoldFunc stands for one that always allows it.
 type HoldFunc func(bytes int) bool
 
+// OpenHoldFunc opens the charge of one response. Once it is released, holdFunc is not called.
+type OpenHoldFunc func() (holdFunc func(bytes int) bool, releaseFunc func())
+
+type holdFuncKey struct{}
+
+// WithHoldFunc returns a context for calls whose responses are charged by holdFunc. Transport
+// charges the heads of the responses, and whoever reads a body charges that.
+func WithHoldFunc(ctx context.Context, holdFunc HoldFunc) context.Context {
+	if holdFunc == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, holdFuncKey{}, holdFunc)
+}
+
+func holdFuncFrom(ctx context.Context) HoldFunc {
+	holdFunc, _ := ctx.Value(holdFuncKey{}).(HoldFunc)
+	return holdFunc
+}
+
 // ErrNotHeld means that a response is longer than what may be held.
 var ErrNotHeld = errors.New("there is no memory for the response")
 
@@ -64,6 +85,20 @@
 	return &held
 }
 
+// LimitEach returns an OpenHoldFunc that allows each response up to limit bytes.
+func LimitEach(limit int64) OpenHoldFunc {
+	return func() (holdFunc func(bytes int) bool, releaseFunc func()) {
+		var taken atomic.Int64
+		return func(bytes int) bool { return taken.Add(int64(bytes)) <= limit }, func() {}
+	}
+}
+
+// LimitResponses returns a client whose responses take up to limit bytes in all.
+func LimitResponses(client *http.Client, limit int64) *http.Client {
+	holdFunc, _ := LimitEach(limit)()
+	return HoldResponses(client, holdFunc, 1)
+}
+
 type holdingTransport struct {
 	inner    http.RoundTripper
 	holdFunc HoldFunc
@@ -72,9 +107,9 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *holdingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.inner.RoundTrip(request)
+	response, err := t.inner.RoundTrip(request.WithContext(WithHoldFunc(request.Context(), t.holdFunc)))
 	if err == nil {
-		response.Body = &heldBody{ReadCloser: response.Body, transport: t}
+		response.Body = &heldBody{ReadCloser: response.Body, holdFunc: t.holdFunc, factor: t.factor}
 	}
 	return response, err
 }
@@ -82,16 +117,27 @@
 // heldBody is the body of a response, which is charged as it is read.
 type heldBody struct {
 	io.ReadCloser
-	transport *holdingTransport
-	length    int
+	holdFunc HoldFunc
+	factor   int
+	length   int
+	// releaseFunc is called when the body is closed. It may be nil.
+	releaseFunc func()
 }
 
 // Read implements io.Reader.
 func (b *heldBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	b.length += n
-	if b.length > freeHeldBytes && n > 0 && !b.transport.holdFunc(b.transport.factor*n) {
+	if b.length > freeHeldBytes && n > 0 && !b.holdFunc(b.factor*n) {
 		return n, ErrNotHeld
 	}
 	return n, err
 }
+
+// Close implements io.Closer.
+func (b *heldBody) Close() error {
+	if b.releaseFunc != nil {
+		b.releaseFunc()
+	}
+	return b.ReadCloser.Close()
+}
--- a/spokehttp/transport.go
+++ b/spokehttp/transport.go
@@ -28,12 +28,15 @@
 // responses of servers are read through it. It is safe for concurrent use.
 type Transport struct {
 	*http.Transport
+	// OpenHoldFunc opens the charge of a response whose request has no HoldFunc (see
+	// WithHoldFunc). Nil means that such responses are not charged.
+	OpenHoldFunc OpenHoldFunc
 }
 
 // NewTransport returns a transport whose connections are made by dialFunc. It doesn't
 // decompress bodies.
 func NewTransport(dialFunc DialContextFunc) *Transport {
-	return &Transport{&http.Transport{
+	return &Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialFunc(ctx, network, address)
 			if err != nil {
@@ -48,9 +51,21 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var exchange Exchange
-	defer exchange.End()
-	return t.Send(request.Context(), &exchange, request)
+	exchange := Exchange{HoldFunc: holdFuncFrom(request.Context())}
+	if exchange.HoldFunc != nil || t.OpenHoldFunc == nil {
+		defer exchange.End()
+		return t.Send(request.Context(), &exchange, request)
+	}
+	holdFunc, releaseFunc := t.OpenHoldFunc()
+	exchange.HoldFunc = holdFunc
+	response, err := t.Send(request.Context(), &exchange, request)
+	exchange.End()
+	if err != nil {
+		releaseFunc()
+		return nil, err
+	}
+	response.Body = &heldBody{ReadCloser: response.Body, holdFunc: holdFunc, factor: 1, releaseFunc: releaseFunc}
+	return response, nil
 }
 
 // Send sends a request with ctx as part of an exchange, which the caller ends. It returns
--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -149,6 +149,7 @@
 func (c *Client) Open(ctx context.Context, request Request) (OpenResponse, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	ctx = spokehttp.WithHoldFunc(ctx, c.HoldFunc)
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, c.URL+request.Path, bytes.NewReader(request.Body))
 	if err != nil {
 		return OpenResponse{}, spokeerror.New("send", KindNotSent, err)
--- a/spokeserve/chat.go
+++ b/spokeserve/chat.go
@@ -167,7 +167,13 @@
 		return nil, nil, refusal
 	}
 	g := s.newGeneration(a, request)
-	g.start(ctx, done)
+	details := requestDetailsFrom(ctx)
+	g.holdFunc = details.reservation.HoldAnswer
+	release := details.retain()
+	g.start(ctx, func() {
+		release()
+		done()
+	})
 	return s.respond(g, request)
 }
 
--- a/spokeserve/generation.go
+++ b/spokeserve/generation.go
@@ -12,6 +12,7 @@
 	"mulberryspoke.example/mulberryspoke/spokecore"
 	"mulberryspoke.example/mulberryspoke/spokeengine"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 )
 
 const (
@@ -33,6 +34,8 @@
 	tokens        chan string
 	cancel        context.CancelFunc
 	finishReason  string
+	// holdFunc charges the answer to the caller's request.
+	holdFunc spokehttp.HoldFunc
 
 	delivered   []string
 	lastAttempt sentAttempt
@@ -149,7 +152,7 @@
 	sent.importedFrom, sent.notImported = g.importCache(ctx, attempt)
 	request.CacheAttemptID = sent.importedFrom
 	g.lastAttempt = sent
-	engine := spokeengine.Client{URL: "http://" + attempt.Server.Address, HTTPClient: g.server.Client}
+	engine := spokeengine.Client{URL: "http://" + attempt.Server.Address, HTTPClient: g.server.Client, HoldFunc: g.holdFunc}
 	stream, err := engine.Generate(ctx, request)
 	if err != nil {
 		return nil, spokeerror.New("generate", spokecore.KindNoAnswer, err)
