memory, peer: own calls and peers' messages have a bound over all of them

What could happen: responses of the table, the store, the cloud and the list had up to 64 MB each (4 MB on the users' platform), and messages of peers 16 MB on each of up to 176 connections; the page on memory listed the latter as not bounded.

Change: Guard.OwnBudget, an eighth of the instance's memory and at least 24 MB, so that the longest message fits. Transport charges the responses to requests that no caller's reservation pays for and releases them when their bodies are closed; the codec of the links charges a message beyond 4 KB as it arrives, not as it is announced. Refusals are counted and logged.

--- a/spokeentry/entry.go
+++ b/spokeentry/entry.go
@@ -186,6 +186,7 @@
 	e.metrics = metrics.NewSet()
 	e.guard = spokememory.NewGuard(e.limits(), e.metrics, e.Logs.Component("serve"))
 	client, noKeepAliveClient := spokehttp.NewClient(), spokehttp.NewNoKeepAliveClient()
+	spokehttp.ChargeResponses(e.guard.OpenOwn, client, noKeepAliveClient)
 	table := &spoketable.Table{URL: e.Settings.TableURL, Client: client, NoKeepAliveClient: noKeepAliveClient}
 	objects := &spokeobject.Store{URL: e.Settings.ObjectURL, NoKeepAliveClient: noKeepAliveClient}
 	e.store = &spokeconfig.Store{}
@@ -198,7 +199,7 @@
 	}
 	e.peerNode = &spokepeer.Node{
 		View: e.view, Store: e.store, Registry: e.registry, AttemptStateFunc: e.claims.AttemptState,
-		Listener: e.guard.Peers.Listener(peers), LinkHeardFunc: e.guard.Peers.RecordHeartbeat, Log: e.Logs.Component("peer"),
+		Listener: e.guard.Peers.Listener(peers), LinkHeardFunc: e.guard.Peers.RecordHeartbeat, OpenHoldFunc: e.guard.OpenOwn, Log: e.Logs.Component("peer"),
 	}
 	e.registry.LongAnswersChangedFunc = e.peerNode.TriggerHeartbeatsIfFewLinks
 	e.poller = &spokewatch.Poller{
--- a/spokehttp/transport_test.go
+++ b/spokehttp/transport_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
+	"mulberryspoke.example/mulberryspoke/spokememory"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
 )
 
@@ -127,3 +129,36 @@
 	require.NoError(t, err)
 	return request
 }
+
+// TestOwnResponses guards against responses that are bounded each, but not all together.
+func TestOwnResponses(t *testing.T) {
+	const limit, calls = 1 << 20, 20
+	url := startRawServer(t, &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\n\n{\"extra\":\"", Repeated: "0123456789"})
+	budget := &spokememory.Budget{Limit: limit}
+	client := spokehttp.NewClient()
+	spokehttp.ChargeResponses(func() (func(int) bool, func()) {
+		reservation := budget.Open("", -1)
+		return reservation.HoldAnswer, reservation.Release
+	}, client)
+	var requests sync.WaitGroup
+	errs := make(chan error, calls)
+	for range calls {
+		requests.Go(func() {
+			_, err := spokehttp.GetJSON[struct{}](t.Context(), client, url)
+			errs <- err
+		})
+	}
+	requests.Wait()
+	for range calls {
+		require.ErrorIs(t, <-errs, spokehttp.ErrNotHeld)
+	}
+	require.Zero(t, budget.Held(), "after the calls")
+}
+
+// TestErrorBody guards against an error that quotes a body of any length.
+func TestErrorBody(t *testing.T) {
+	url := startRawServer(t, &spokestandin.RawServer{Answer: "HTTP/1.1 500 Failure\n\n", Repeated: "0123456789"})
+	_, err := spokehttp.GetJSON[struct{}](t.Context(), spokehttp.NewClient(), url)
+	require.Equal(t, http.StatusInternalServerError, spokehttp.StatusOf(err))
+	require.Less(t, len(err.Error()), 8<<10)
+}
--- a/spokememory/budget_test.go
+++ b/spokememory/budget_test.go
@@ -110,6 +110,7 @@
 		MemoryMB    int64  `yaml:"memory_mb"`
 		Descriptors int    `yaml:"descriptors"`
 		BudgetMB    int64  `yaml:"budget_mb"`
+		OwnMB       int64  `yaml:"own_mb"`
 		Connections int    `yaml:"connections"`
 		// Peers and Small bound the connections of the peers' listener and of each one for
 		// probes, metrics or operators.
@@ -120,6 +121,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			limits := DeriveLimits(c.MemoryMB<<20, c.Descriptors)
 			require.Equal(t, c.BudgetMB, limits.BudgetBytes>>20)
+			require.Equal(t, c.OwnMB, limits.OwnBytes>>20)
 			require.Equal(t, c.Connections, limits.Connections)
 			require.Equal(t, c.Peers, limits.PeerConnections)
 			require.Equal(t, c.Small, limits.SmallListener)
--- a/spokememory/guard.go
+++ b/spokememory/guard.go
@@ -17,6 +17,11 @@
 	// collector needs about the same again, and the program, its connections and its own
 	// calls the rest.
 	budgetShare = 0.25
+	// ownShare is the part of the memory that the responses to the instance's own calls and
+	// the messages of its peers may take, and minOwnBytes what they may take in any case, which
+	// is more than the longest message.
+	ownShare    = 0.125
+	minOwnBytes = 24 << 20
 	// connectionShare is the part of the memory that callers' connections may take, and
 	// connectionBytes what one takes in this process: goroutines and buffers.
 	connectionShare = 0.25
@@ -52,6 +57,9 @@
 type Limits struct {
 	// BudgetBytes bounds what callers' requests hold. Zero means no bound.
 	BudgetBytes int64
+	// OwnBytes bounds what the responses to the instance's own calls and the messages of its
+	// peers hold. Zero means no bound.
+	OwnBytes int64
 	// Connections bounds callers' connections. Zero means no bound.
 	Connections int
 	// PeerConnections bounds the connections from peers. Zero means no bound.
@@ -66,6 +74,7 @@
 func DeriveLimits(memoryBytes int64, descriptors int) Limits {
 	limits := Limits{BudgetBytes: int64(budgetShare * float64(memoryBytes))}
 	if memoryBytes > 0 {
+		limits.OwnBytes = max(minOwnBytes, int64(ownShare*float64(memoryBytes)))
 		limits.Connections = max(1, int(connectionShare*float64(memoryBytes)/connectionBytes))
 	}
 	if descriptors <= 0 {
@@ -115,6 +124,8 @@
 type Guard struct {
 	// Budget bounds the bytes.
 	Budget *Budget
+	// OwnBudget bounds the bytes of the instance's own calls.
+	OwnBudget *Budget
 	// Connections bounds callers' connections.
 	Connections *ConnectionLimit
 	// Peers bounds the connections from peers.
@@ -134,11 +145,14 @@
 func NewGuard(limits Limits, set *metrics.Set, log zerolog.Logger) *Guard {
 	g := &Guard{limits: limits, set: set, log: log, lines: rate.NewLimiter(logLinesPerSecond, logLinesPerSecond), counters: make(map[string]*metrics.Counter)}
 	g.Budget = &Budget{Limit: limits.BudgetBytes, DecidedFunc: g.recordDecision}
+	g.OwnBudget = &Budget{Limit: limits.OwnBytes, DecidedFunc: g.recordOwnDecision}
 	g.Connections = &ConnectionLimit{Limit: limits.Connections, Budget: g.Budget, ClosedFunc: g.recordClosed}
 	g.Peers = g.newListenerLimit("peers", limits.PeerConnections)
 	g.Peers.HasLinks = true
 	set.NewGauge("spoke_memory_held_bytes", func() float64 { return float64(g.Budget.Held()) })
 	set.NewGauge("spoke_memory_budget_bytes", func() float64 { return float64(limits.BudgetBytes) })
+	set.NewGauge("spoke_own_memory_held_bytes", func() float64 { return float64(g.OwnBudget.Held()) })
+	g.addCounter(ownRefusalMetric)
 	set.NewGauge("spoke_caller_connections", func() float64 { return float64(g.Connections.Count()) })
 	for _, kind := range []Kind{KindFull, KindWorkspaceShare, KindEvicted, KindAnswer} {
 		g.addCounter(refusalMetric(kind))
@@ -149,6 +163,17 @@
 	return g
 }
 
+// ownRefusalMetric counts the refused bytes of own calls.
+const ownRefusalMetric = "spoke_own_memory_refused_total"
+
+// OpenOwn opens the charge of a response to an own call, or of a message of a peer. HoldFunc
+// charges a number of bytes more, or reports that they must not be held. ReleaseFunc returns
+// them all; holdFunc is not called after that.
+func (g *Guard) OpenOwn() (holdFunc func(bytes int) bool, releaseFunc func()) {
+	reservation := g.OwnBudget.Open("", -1)
+	return reservation.HoldAnswer, reservation.Release
+}
+
 // NewSmallListener returns the bound of a listener for probes, metrics or operators, by
 // the name that metrics and log lines give it. A request that takes longer than
 // maxRequestTime may be closed for another connection.
@@ -196,6 +221,15 @@
 	event.Str("reason", string(d.Kind())).Str("workspace", d.Workspace()).Int64("held", d.Held()).Int64("budget", g.Budget.Limit).Int64("bytes", d.Requested()).Int64("age_millis", int64(d.Age())).Msg("Bytes of a caller's request were refused.")
 }
 
+func (g *Guard) recordOwnDecision(d Decision) {
+	g.counters[ownRefusalMetric].Inc()
+	event, mayLog := g.logEvent()
+	if !mayLog {
+		return
+	}
+	event.Int64("held", d.Held()).Int64("budget", g.OwnBudget.Limit).Int64("bytes", d.Requested()).Int64("age_millis", int64(d.Age())).Msg("Bytes of a response to an own call or of a peer's message were refused.")
+}
+
 func (g *Guard) recordClosed(c ClosedConnection) {
 	g.counters[closeMetric(c.Reason())].Inc()
 	event, mayLog := g.logEvent()
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -16,6 +16,7 @@
 	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokefeed"
+	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 	"mulberryspoke.example/mulberryspoke/spokequarantine"
 	"mulberryspoke.example/mulberryspoke/spokethrottle"
@@ -103,6 +104,9 @@
 	// heartbeat of a peer, and with the time without a heartbeat after which the link counts
 	// as lost. It may be nil.
 	LinkHeardFunc func(conn net.Conn, maxSilence spokeclock.Millis)
+	// OpenHoldFunc opens the charge of a message, which bounds what all messages hold at a
+	// time. Nil means that they are not charged.
+	OpenHoldFunc spokehttp.OpenHoldFunc
 	// Log receives log messages.
 	Log zerolog.Logger
 
@@ -246,7 +250,7 @@
 // ctx ends.
 func (n *Node) serveConn(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
 	counting := &countingConn{Conn: conn, traffic: &n.traffic}
-	stream := jsonrpc2.NewBufferedStream(counting, boundedCodec{})
+	stream := jsonrpc2.NewBufferedStream(counting, boundedCodec{openFunc: n.OpenHoldFunc})
 	s := &session{node: n, conn: conn}
 	handler := concurrentHandler{jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()}
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(&n.Log))
