operate, load: answers that are read have a bound

What an operator would see: an answer with an unknown status and a body without end was read until the memory was full, as goa's client keeps the body of such an answer for its error, and an error quoted all of it. The load tool read answers of any length.

Change: a response takes up to 64 MB at the operators' client, an error shows 4 KB; the load tool reads 16 MB of an answer and counts one that is cut there as lost.

--- a/spokeload/sender.go
+++ b/spokeload/sender.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// maxAnswerBytes is the part of an answer that is read. One that is cut there counts as lost.
+const maxAnswerBytes = 16 << 20
+
 func newIdempotencyKey() string {
 	key, err := uuid.NewV7()
 	if err != nil {
@@ -86,16 +89,17 @@
 		return spokeclock.Second
 	}
 	defer func() { _ = response.Body.Close() }()
+	body := io.LimitReader(response.Body, maxAnswerBytes)
 	if response.StatusCode != http.StatusOK {
-		return s.readRefusal(response, result)
+		return s.readRefusal(response, body, result)
 	}
 	switch {
 	case r.kind.Shape != ShapeChat:
-		s.readPlainAnswer(response.Body, r, intendedStart, result)
+		s.readPlainAnswer(body, r, intendedStart, result)
 	case r.kind.Stream:
-		s.readChatStream(response.Body, r, intendedStart, result)
+		s.readChatStream(body, r, intendedStart, result)
 	default:
-		s.readChatAnswer(response.Body, r, intendedStart, result)
+		s.readChatAnswer(body, r, intendedStart, result)
 	}
 	return 0
 }
@@ -140,19 +144,19 @@
 
 // readRefusal records an error response and returns the delay before a retry,
 // which is one second if the response doesn't state it.
-func (s *sender) readRefusal(response *http.Response, result *RequestResult) spokeclock.Millis {
+func (s *sender) readRefusal(response *http.Response, body io.Reader, result *RequestResult) spokeclock.Millis {
 	retryAfterSeconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
 	if err != nil {
 		retryAfterSeconds = 1
 	}
-	var body errorBody
-	text, readErr := io.ReadAll(response.Body)
-	if readErr != nil || json.Unmarshal(text, &body) != nil || body.Error.Type == "" {
+	var refusal errorBody
+	text, readErr := io.ReadAll(body)
+	if readErr != nil || json.Unmarshal(text, &refusal) != nil || refusal.Error.Type == "" {
 		result.setVerdict(VerdictLost, "a refusal that cannot be read: "+response.Status)
 		return spokeclock.Second
 	}
-	result.setVerdict(refusalVerdict(body), body.Error.Type)
-	result.scope = body.Error.Scope
+	result.setVerdict(refusalVerdict(refusal), refusal.Error.Type)
+	result.scope = refusal.Error.Scope
 	return spokeclock.Millis(retryAfterSeconds) * spokeclock.Second
 }
 
--- a/spokeoperate/client.go
+++ b/spokeoperate/client.go
@@ -39,6 +39,8 @@
 	idleTimeout = 30 * spokeclock.Second
 	// maxResponseBytes bounds what a response may take in memory.
 	maxResponseBytes = 64 << 20
+	// maxErrorBytes is the part of an error that is shown, as it may quote a response.
+	maxErrorBytes = 4 << 10
 )
 
 // httpClient is used by all clients.
@@ -48,16 +50,14 @@
 	transport := spokehttp.NewTransport((&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext)
 	transport.Proxy = http.ProxyFromEnvironment
 	transport.IdleConnTimeout = idleTimeout.Duration()
+	transport.OpenHoldFunc = spokehttp.LimitEach(maxResponseBytes)
 	return &http.Client{Transport: transport}
 }
 
 // newResponseDecoder returns a decoder of a whole body. The decoders of goa stop at the end of
 // the value, so that a body that breaks off behind it would count as complete.
 func newResponseDecoder(response *http.Response) goahttp.Decoder {
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(text) > maxResponseBytes {
-		err = spokeerror.Newf("read response", KindUnreachable, "the response is longer than %d bytes", maxResponseBytes)
-	}
+	text, err := io.ReadAll(response.Body)
 	if err != nil {
 		return failedDecoder{err}
 	}
@@ -138,5 +138,8 @@
 	if errors.As(err, &refused) {
 		return spokeerror.Newf(operation, KindRefused, "%s: %s (%s)", refused.Detail.Type, refused.Detail.Message, refused.Detail.Outcome)
 	}
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return spokeerror.Newf(operation, KindUnreachable, "%s...", text[:maxErrorBytes])
+	}
 	return spokeerror.New(operation, KindUnreachable, err)
 }
--- a/spokeoperate/client_test.go
+++ b/spokeoperate/client_test.go
@@ -1,8 +1,10 @@
 package spokeoperate_test
 
 import (
+	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -38,3 +40,28 @@
 		})
 	}
 }
+
+// TestEndlessAnswer guards against an answer without end, of which all was kept, and which an
+// error quoted in full.
+func TestEndlessAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"an answer":        "HTTP/1.1 200 OK\nContent-Type: application/json\n\n{\"revision\":7,\"declaration\":\"",
+		"an unknown error": "HTTP/1.1 418 Teapot\nContent-Type: application/json\n\n",
+		"a head":           "HTTP/1.1 200 OK\nX-Long: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := &spokestandin.RawServer{Answer: answer, Repeated: "0123456789"}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			go server.Serve(listener)
+			client := spokeoperate.NewClient("http://"+listener.Addr().String(), "key")
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err = client.Get(ctx)
+			require.Equal(t, spokeoperate.KindUnreachable, spokeerror.KindOf[spokeoperate.Kind](err))
+			require.Less(t, len(err.Error()), 8<<10)
+			require.NoError(t, ctx.Err(), "the answer was read until the time was over")
+		})
+	}
+}
