--- a/spokehttp/transport_test.go
+++ b/spokehttp/transport_test.go
@@ -73,14 +73,10 @@
 	server := &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\nContent-Length: 0\n\n"}
 	url := startRawServer(t, server)
 	transport := spokehttp.NewTransport((&net.Dialer{}).DialContext)
-	// The second request waits for the connection of the first.
-	transport.MaxConnsPerHost = 1
-	var first, second spokehttp.Exchange
-	response, err := transport.Send(t.Context(), &first, newUpload(t, url))
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
+	first := sendUnjudged(t, transport, url)
 	sent := make(chan error, 1)
 	go func() {
+		var second spokehttp.Exchange
 		defer second.End()
 		response, err := transport.Send(t.Context(), &second, newUpload(t, url))
 		if err == nil {
@@ -102,13 +98,10 @@
 func TestUnsentRequest(t *testing.T) {
 	url := startRawServer(t, &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\nContent-Length: 0\n\n"})
 	transport := spokehttp.NewTransport((&net.Dialer{}).DialContext)
-	transport.MaxConnsPerHost = 1
-	var first, second spokehttp.Exchange
-	response, err := transport.Send(t.Context(), &first, newUpload(t, url))
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
+	first := sendUnjudged(t, transport, url)
 	unsent := make(chan bool, 1)
 	go func() {
+		var second spokehttp.Exchange
 		defer second.End()
 		request := newUpload(t, url)
 		request.GetBody = nil
@@ -124,6 +117,17 @@
 	require.True(t, <-unsent)
 }
 
+// sendUnjudged sends a request whose response is still to be judged, and makes the next one
+// wait for its connection.
+func sendUnjudged(t *testing.T, transport *spokehttp.Transport, url string) *spokehttp.Exchange {
+	transport.MaxConnsPerHost = 1
+	exchange := &spokehttp.Exchange{}
+	response, err := transport.Send(t.Context(), exchange, newUpload(t, url))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return exchange
+}
+
 func newUpload(t *testing.T, url string) *http.Request {
 	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader("request"))
 	require.NoError(t, err)
