http: folded lines are found behind an informational head with several blanks

The start of a status line was compared by its length, so that an informational head with two blanks before its status, which net/http accepts, counted as the last one and the head behind it was not scanned. Found by reading; the new case of TestHeadScanner failed before.

--- a/spokehttp/head.go
+++ b/spokehttp/head.go
@@ -84,7 +84,7 @@
 			return spokeerror.Newf("read response", KindNoAnswer, "the line %.*q of its head is folded", maxExcerpt, line)
 		}
 		if !h.hasStatus {
-			h.status = append(h.status, line[:min(len(line), statusPrefixBytes-len(h.status))]...)
+			h.addToStatus(line)
 		}
 		h.isLineStart = false
 		h.isBlank = h.isBlank && len(bytes.TrimRight(line, "\r")) == 0
@@ -96,6 +96,19 @@
 	return nil
 }
 
+// addToStatus keeps the start of the status line. The HTTP library accepts several blanks
+// before the status.
+func (h *headScanner) addToStatus(line []byte) {
+	for _, c := range line {
+		if len(h.status) == statusPrefixBytes {
+			return
+		}
+		if c != ' ' || !bytes.HasSuffix(h.status, []byte(" ")) {
+			h.status = append(h.status, c)
+		}
+	}
+}
+
 // endLine ends the current line. A blank one ends the head. Another head follows that of an
 // informational response.
 func (h *headScanner) endLine() {
