--- a/spokeengine/engine.go
+++ b/spokeengine/engine.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, spokeerror.New("generate", KindRefused, err)
 	}
-	ctx = spokehttp.WithHoldFunc(ctx, c.HoldFunc)
+	ctx = spokehttp.WithExchange(ctx, &spokehttp.Exchange{HoldFunc: c.HoldFunc})
 	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+"/v1/generate", bytes.NewReader(body))
 	if err != nil {
 		return nil, spokeerror.New("generate", KindUnreachable, err)
--- a/spokehttp/client.go
+++ b/spokehttp/client.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// ChargeResponses makes clients charge the responses to requests without a HoldFunc.
+// ChargeResponses makes clients charge the responses whose exchanges have no HoldFunc.
 func ChargeResponses(openFunc OpenHoldFunc, clients ...*http.Client) {
 	for _, client := range clients {
 		client.Transport.(*Transport).OpenHoldFunc = openFunc
--- a/spokehttp/exchange.go
+++ b/spokehttp/exchange.go
@@ -10,7 +10,8 @@
 // belongs to one goroutine.
 type Exchange struct {
 	// HoldFunc asks whether a head may be held that is longer than usual. It is not called
-	// after End. Nil means that it may.
+	// after End. Whoever reads the body charges that. Nil means that the response may be held,
+	// or that it is charged by the transport.
 	HoldFunc HoldFunc
 
 	conn         *Conn
@@ -20,6 +21,22 @@
 	hasTurn       bool
 }
 
+type exchangeKey struct{}
+
+// WithExchange returns a context for a single call whose request is sent as part of an
+// exchange. Transport ends it.
+func WithExchange(ctx context.Context, exchange *Exchange) context.Context {
+	return context.WithValue(ctx, exchangeKey{}, exchange)
+}
+
+// exchangeFrom returns the exchange of a context, or a new one.
+func exchangeFrom(ctx context.Context) *Exchange {
+	if exchange, ok := ctx.Value(exchangeKey{}).(*Exchange); ok {
+		return exchange
+	}
+	return &Exchange{}
+}
+
 // clientTrace returns the hooks that tell the exchange its connection.
 func (e *Exchange) clientTrace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -49,6 +66,9 @@
 	}
 }
 
+// HasConn reports whether the request has been given a connection.
+func (e *Exchange) HasConn() bool { return e.conn != nil }
+
 // RequestNumber returns the request's place among those of its connection, from 1, or zero
 // if it had none.
 func (e *Exchange) RequestNumber() int64 { return e.requestNumber }
--- a/spokehttp/held.go
+++ b/spokehttp/held.go
@@ -1,7 +1,6 @@
 package spokehttp
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -15,22 +14,6 @@
 // OpenHoldFunc opens the charge of one response. Once it is released, holdFunc is not called.
 type OpenHoldFunc func() (holdFunc func(bytes int) bool, releaseFunc func())
 
-type holdFuncKey struct{}
-
-// WithHoldFunc returns a context for calls whose responses are charged by holdFunc. Transport
-// charges the heads of the responses, and whoever reads a body charges that.
-func WithHoldFunc(ctx context.Context, holdFunc HoldFunc) context.Context {
-	if holdFunc == nil {
-		return ctx
-	}
-	return context.WithValue(ctx, holdFuncKey{}, holdFunc)
-}
-
-func holdFuncFrom(ctx context.Context) HoldFunc {
-	holdFunc, _ := ctx.Value(holdFuncKey{}).(HoldFunc)
-	return holdFunc
-}
-
 // ErrNotHeld means that a response is longer than what may be held.
 var ErrNotHeld = errors.New("there is no memory for the response")
 
@@ -107,7 +90,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *holdingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.inner.RoundTrip(request.WithContext(WithHoldFunc(request.Context(), t.holdFunc)))
+	response, err := t.inner.RoundTrip(request.WithContext(WithExchange(request.Context(), &Exchange{HoldFunc: t.holdFunc})))
 	if err == nil {
 		response.Body = &heldBody{ReadCloser: response.Body, holdFunc: t.holdFunc, factor: t.factor}
 	}
--- a/spokehttp/transport.go
+++ b/spokehttp/transport.go
@@ -28,8 +28,8 @@
 // responses of servers are read through it. It is safe for concurrent use.
 type Transport struct {
 	*http.Transport
-	// OpenHoldFunc opens the charge of a response whose request has no HoldFunc (see
-	// WithHoldFunc). Nil means that such responses are not charged.
+	// OpenHoldFunc opens the charge of a response whose exchange has no HoldFunc. Nil means that
+	// such responses are not charged.
 	OpenHoldFunc OpenHoldFunc
 }
 
@@ -51,16 +51,16 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	exchange := Exchange{HoldFunc: holdFuncFrom(request.Context())}
+	exchange := exchangeFrom(request.Context())
+	defer exchange.End()
 	if exchange.HoldFunc != nil || t.OpenHoldFunc == nil {
-		defer exchange.End()
-		return t.Send(request.Context(), &exchange, request)
+		return t.Send(request.Context(), exchange, request)
 	}
 	holdFunc, releaseFunc := t.OpenHoldFunc()
 	exchange.HoldFunc = holdFunc
-	response, err := t.Send(request.Context(), &exchange, request)
-	exchange.End()
+	response, err := t.Send(request.Context(), exchange, request)
 	if err != nil {
+		exchange.End()
 		releaseFunc()
 		return nil, err
 	}
--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -6,8 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
@@ -125,7 +123,7 @@
 type Client struct {
 	// URL is the base URL of the server.
 	URL string
-	// HTTPClient sends the requests. For requests that are not idempotent, and to
+	// HTTPClient sends the requests through a spokehttp.Transport. For requests that are not idempotent, and to
 	// seal attempts, it must not reuse connections: net/http may send a request again
 	// when a reused connection turns out to be closed, and a reused connection may
 	// hold a late copy of an earlier response.
@@ -147,9 +145,8 @@
 // Open sends a request once and reads the response as far as it may be held. Its errors
 // are those of Send but for KindNotHeld. The connection ends with ctx.
 func (c *Client) Open(ctx context.Context, request Request) (OpenResponse, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	ctx = spokehttp.WithHoldFunc(ctx, c.HoldFunc)
+	exchange := &spokehttp.Exchange{HoldFunc: c.HoldFunc}
+	ctx = spokehttp.WithExchange(ctx, exchange)
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, c.URL+request.Path, bytes.NewReader(request.Body))
 	if err != nil {
 		return OpenResponse{}, spokeerror.New("send", KindNotSent, err)
@@ -161,7 +158,7 @@
 	spoketrace.Inject(ctx, outgoing.Header)
 	response, err := c.HTTPClient.Do(outgoing)
 	if err != nil {
-		return OpenResponse{}, spokeerror.New("send", failureKind(err, connected.Load()), err)
+		return OpenResponse{}, spokeerror.New("send", failureKind(err, exchange.HasConn()), err)
 	}
 	opened, err := c.readStart(request, response)
 	if err != nil {
