http: a call whose context has an exchange is not copied for its hook

WithExchange sets the hook of httptrace as well, so that RoundTrip need not copy the request.

Race detector on the seven packages that use it: passed.

--- a/spokehttp/exchange.go
+++ b/spokehttp/exchange.go
@@ -26,15 +26,12 @@
 // WithExchange returns a context for a single call whose request is sent as part of an
 // exchange. Transport ends it.
 func WithExchange(ctx context.Context, exchange *Exchange) context.Context {
-	return context.WithValue(ctx, exchangeKey{}, exchange)
+	return exchange.withTrace(context.WithValue(ctx, exchangeKey{}, exchange))
 }
 
-// exchangeFrom returns the exchange of a context, or a new one.
-func exchangeFrom(ctx context.Context) *Exchange {
-	if exchange, ok := ctx.Value(exchangeKey{}).(*Exchange); ok {
-		return exchange
-	}
-	return &Exchange{}
+// withTrace returns a context that tells the exchange its connection.
+func (e *Exchange) withTrace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, e.clientTrace())
 }
 
 // clientTrace returns the hooks that tell the exchange its connection.
--- a/spokehttp/transport.go
+++ b/spokehttp/transport.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"unicode/utf8"
 
 	"mulberryspoke.example/mulberryspoke/spokeerror"
@@ -51,14 +50,18 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	exchange := exchangeFrom(request.Context())
+	exchange, ok := request.Context().Value(exchangeKey{}).(*Exchange)
+	if !ok {
+		exchange = &Exchange{}
+		request = request.WithContext(exchange.withTrace(request.Context()))
+	}
 	defer exchange.End()
 	if exchange.HoldFunc != nil || t.OpenHoldFunc == nil {
-		return t.Send(request.Context(), exchange, request)
+		return t.send(exchange, request)
 	}
 	holdFunc, releaseFunc := t.OpenHoldFunc()
 	exchange.HoldFunc = holdFunc
-	response, err := t.Send(request.Context(), exchange, request)
+	response, err := t.send(exchange, request)
 	if err != nil {
 		exchange.End()
 		releaseFunc()
@@ -72,7 +75,12 @@
 // the error of RoundTrip of net/http, or one of kind KindNoAnswer for a response that is not
 // well-formed, whose connection it closes.
 func (t *Transport) Send(ctx context.Context, exchange *Exchange, request *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, exchange.clientTrace())))
+	return t.send(exchange, request.WithContext(exchange.withTrace(ctx)))
+}
+
+// send sends a request whose context tells the exchange its connection.
+func (t *Transport) send(exchange *Exchange, request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
 	if err != nil {
 		return nil, err
 	}
