spokecase: one function serves a stand-in on loopback for a test

Six tests of this work opened a listener, closed it with the test and served a RawServer in the background, in the same five lines. spokecase.Serve does it now.

Only tests and comments change; the assertions are the same.

--- a/spokecase/doc.go
+++ b/spokecase/doc.go
@@ -1,2 +1,2 @@
-// Package spokecase reads test cases from YAML files.
+// Package spokecase reads test cases from YAML files and serves stand-ins on loopback.
 package spokecase
--- a/spokeengine/engine_test.go
+++ b/spokeengine/engine_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -92,12 +91,8 @@
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
 			server := &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\n\n{\"slots\":1,\"extra\":\"", Repeated: "0123456789"}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = listener.Close() }()
-			go server.Serve(listener)
 			read := &countingTransport{inner: spokehttp.NewClient().Transport}
-			client := &spokeengine.Client{URL: "http://" + listener.Addr().String(), HTTPClient: &http.Client{Transport: read}}
+			client := &spokeengine.Client{URL: "http://" + spokecase.Serve(t, server.Serve), HTTPClient: &http.Client{Transport: read}}
 			require.ErrorIs(t, call(t.Context(), client), spokehttp.ErrNotHeld)
 			require.Less(t, read.bytes.Load(), int64(2<<20))
 		})
--- a/spokehttp/conn_test.go
+++ b/spokehttp/conn_test.go
@@ -106,17 +106,14 @@
 }
 
 func (c *resetCase) run(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	go c.Server.Serve(listener)
+	url := startRawServer(t, &c.Server)
 	transport := spokehttp.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return &lateReader{Conn: conn, written: newEvent(), read: newEvent()}, err
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String(), io.LimitReader(zeroReader{}, uploadBytes))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.LimitReader(zeroReader{}, uploadBytes))
 	require.NoError(t, err)
 	response, err := transport.RoundTrip(request)
 	require.NoError(t, err)
--- a/spokehttp/transport_test.go
+++ b/spokehttp/transport_test.go
@@ -59,11 +59,7 @@
 }
 
 func startRawServer(t *testing.T, server *spokestandin.RawServer) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go server.Serve(listener)
-	return "http://" + listener.Addr().String()
+	return "http://" + spokecase.Serve(t, server.Serve)
 }
 
 // TestConnectionOfRefusedResponse guards against a request on the connection of a response
--- a/spokeobject/store_test.go
+++ b/spokeobject/store_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeobject"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
@@ -37,11 +38,7 @@
 // connection while it was being sent.
 func TestResetOfPut(t *testing.T) {
 	server := &spokestandin.RawServer{Answer: "HTTP/1.1 200 OK\n\n", AnswersEarly: true, Ending: spokestandin.EndingReset, EndDelay: 5}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	go server.Serve(listener)
-	store := &spokeobject.Store{URL: "http://" + listener.Addr().String(), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
+	store := &spokeobject.Store{URL: "http://" + spokecase.Serve(t, server.Serve), NoKeepAliveClient: spokehttp.NewNoKeepAliveClient()}
 	for range 10 {
 		require.Error(t, store.Put(t.Context(), "a", make([]byte, 12<<20)))
 	}
--- a/spokeoperate/client_test.go
+++ b/spokeoperate/client_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokeoperate"
 	"mulberryspoke.example/mulberryspoke/spokestandin"
@@ -30,12 +30,9 @@
 		"a control byte within a name": "HTTP/1.1 200 OK\nX-Bro\x01ken: 1\nContent-Length: 35\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = listener.Close() }()
-			go (&spokestandin.RawServer{Answer: head + "Content-Type: application/json\n\n" + body, Ending: spokestandin.EndingClose}).Serve(listener)
-			client := spokeoperate.NewClient("http://"+listener.Addr().String(), "key")
-			_, err = client.Get(t.Context())
+			server := &spokestandin.RawServer{Answer: head + "Content-Type: application/json\n\n" + body, Ending: spokestandin.EndingClose}
+			client := spokeoperate.NewClient("http://"+spokecase.Serve(t, server.Serve), "key")
+			_, err := client.Get(t.Context())
 			require.Equal(t, spokeoperate.KindUnreachable, spokeerror.KindOf[spokeoperate.Kind](err), "%v", err)
 		})
 	}
@@ -51,14 +48,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := &spokestandin.RawServer{Answer: answer, Repeated: "0123456789"}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = listener.Close() }()
-			go server.Serve(listener)
-			client := spokeoperate.NewClient("http://"+listener.Addr().String(), "key")
+			client := spokeoperate.NewClient("http://"+spokecase.Serve(t, server.Serve), "key")
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
-			_, err = client.Get(ctx)
+			_, err := client.Get(ctx)
 			require.Equal(t, spokeoperate.KindUnreachable, spokeerror.KindOf[spokeoperate.Kind](err))
 			require.Less(t, len(err.Error()), 8<<10)
 			require.NoError(t, ctx.Err(), "the answer was read until the time was over")
--- a/spokeplain/plain.go
+++ b/spokeplain/plain.go
@@ -123,10 +123,10 @@
 type Client struct {
 	// URL is the base URL of the server.
 	URL string
-	// HTTPClient sends the requests through a spokehttp.Transport. For requests that are not idempotent, and to
-	// seal attempts, it must not reuse connections: net/http may send a request again
-	// when a reused connection turns out to be closed, and a reused connection may
-	// hold a late copy of an earlier response.
+	// HTTPClient sends the requests through a spokehttp.Transport. For requests that are
+	// not idempotent, and to seal attempts, it must not reuse connections: net/http may
+	// send a request again when a reused connection turns out to be closed, and a reused
+	// connection may hold a late copy of an earlier response.
 	HTTPClient *http.Client
 	// HoldFunc asks whether a response may be held. Nil means that it may.
 	HoldFunc spokehttp.HoldFunc
--- a/spokeplain/reset_test.go
+++ b/spokeplain/reset_test.go
@@ -1,12 +1,12 @@
 package spokeplain_test
 
 import (
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokecase"
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 	"mulberryspoke.example/mulberryspoke/spokehttp"
 	"mulberryspoke.example/mulberryspoke/spokeplain"
@@ -30,11 +30,7 @@
 			server := &spokestandin.RawServer{
 				Answer: head + "\npart", AnswersEarly: true, Ending: spokestandin.EndingReset, EndDelay: 5, SmallAnswer: head + "Content-Length: 5\n\nwhole",
 			}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = listener.Close() }()
-			go server.Serve(listener)
-			client := spokeplain.Client{URL: "http://" + listener.Addr().String(), HTTPClient: httpClient}
+			client := spokeplain.Client{URL: "http://" + spokecase.Serve(t, server.Serve), HTTPClient: httpClient}
 			for range resetTries {
 				whole, err := client.Send(t.Context(), spokeplain.Request{Method: http.MethodPost, Path: "/", Body: make([]byte, 1), AttemptID: firstAttempt})
 				require.NoError(t, err)
