review: legal heads with many fields take a machine's memory

Cause: heads are charged with their bytes, and take ten times as much once they are parsed.

Change: review/7 sends 1,400 chunked bodies that stop before their end to each of two of eight machines, with heads of 16,000 bytes in fields of five bytes.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,8 @@
 
 var cases = map[string]func(record *recorder, trouble bool) (broken string){
 	"rollback": playRollback,
+	"headers":  playHeaders,
+	"places":   playPlaces,
 }
 
 func main() {
