--- a/review/standin-2/case_rollback.go
+++ b/review/standin-2/case_rollback.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"time"
 )
 
 // manifestOf returns a manifest. Its routes are /look/, which belongs to service app-a, and
-// /move/, which belongs to moveTo; the tenant has the given keys.
+// /move/, which belongs to moveTo; tenant hule930 has the given keys, tenant fida11 the others.
 func manifestOf(version int, moveTo string, keys ...string) map[string]any {
 	route := func(name, prefix, service string) map[string]any {
 		return map[string]any{
@@ -17,11 +19,18 @@
 	service := func(name string) map[string]any {
 		return map[string]any{"name": name, "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false}
 	}
+	tenant := func(name string, keys []string) map[string]any {
+		return map[string]any{"name": name, "apiKeys": keys, "priority": 1, "unit": "token_count", "plainTokens": 200, "ratePerS": 296691, "burst": 296691}
+	}
+	otherKeys := []string{"key-other", "key-spare"}
+	if slices.Contains(keys, "key-other") {
+		otherKeys = []string{"key-spare"}
+	}
 	return map[string]any{
 		"version": version, "routes": []any{route("r-look", "/look/", "app-a"), route("r-move", "/move/", moveTo)},
 		"services": []any{service("app-a"), service("app-b")},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": keys, "priority": 1, "unit": "token_count", "plainTokens": 200, "ratePerS": 296691, "burst": 296691}},
+		"tenants":  []any{tenant("hule930", keys), tenant("fida11", otherKeys)},
 	}
 }
 
@@ -47,7 +56,7 @@
 		record.line("zone south-b is cut off")
 	}
 	at(2.0)
-	record.line("operator: version 6 is confirmed, with key-wrong and with /move/ at app-b (row version %d)", h.store.put("op", "config", manifestOf(6, "app-b", "key-kept", "key-wrong")))
+	record.line("operator: version 6 is confirmed, with key-wrong, with key-other at tenant hule930 and with /move/ at app-b (row version %d)", h.store.put("op", "config", manifestOf(6, "app-b", "key-kept", "key-wrong", "key-other")))
 	at(4.4)
 	if trouble {
 		h.cutOff(single)
@@ -89,13 +98,17 @@
 	if _, got := h.ask(m, "GET", "/look/1", "key-kept", limit); got.status != 200 {
 		h.record.line("note: a sound request at %s got %s", m.name, got)
 	}
+	var problems []string
 	if id, got := h.ask(m, "GET", "/look/2", "key-wrong", limit); got.status == 200 {
-		return fmt.Sprintf("%s ran %s with key-wrong, which version 7 has dropped", m.name, id)
+		problems = append(problems, fmt.Sprintf("%s ran %s with key-wrong, which version 7 has dropped", m.name, id))
+	}
+	if id, got := h.ask(m, "GET", "/move/3", "key-kept", limit); got.status == 200 && strings.HasPrefix(got.body, "i-b") {
+		problems = append(problems, fmt.Sprintf("%s had %s run by app-b, to which only version 6 sends /move/", m.name, id))
 	}
-	if id, got := h.ask(m, "GET", "/move/3", "key-kept", limit); got.status == 200 && len(got.body) > 4 && got.body[:3] == "i-b" {
-		return fmt.Sprintf("%s had %s run by app-b, to which only version 6 sends /move/", m.name, id)
+	if id, got := h.ask(m, "GET", "/look/4", "key-other", limit); got.status == 200 && strings.HasSuffix(strings.TrimSpace(got.body), "for hule930") {
+		problems = append(problems, fmt.Sprintf("%s had %s run for tenant hule930, to which only version 6 gave key-other; it is fida11's", m.name, id))
 	}
-	return ""
+	return strings.Join(problems, "; ")
 }
 
 func (h *harness) inZone(zone string) []*machine {
--- a/review/standin-2/machines.go
+++ b/review/standin-2/machines.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,8 @@
 	machines []*machine
 	record   *recorder
 	memoryMB int
+	// storeIsAway keeps servers from writing to the store.
+	storeIsAway atomic.Bool
 }
 
 // recorder writes record.txt.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,7 @@
 	"rollback": playRollback,
 	"headers":  playHeaders,
 	"places":   playPlaces,
+	"upgrade":  playUpgrade,
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -52,7 +52,7 @@
 	header.Set("Mulberryspoke-Server-Stamp", fmt.Sprintf("stamp.%s.%s", w.id, attempt))
 	header.Set("Mulberryspoke-Server-Load", fmt.Sprintf("%d,0,6", running))
 	header.Set("Content-Type", "text/plain")
-	_, _ = fmt.Fprintf(rw, "%s answers %s\n", w.id, attempt)
+	_, _ = fmt.Fprintf(rw, "%s answers %s for %s\n", w.id, attempt, r.Header.Get("Mulberryspoke-Tenant"))
 }
 
 // startWorker starts a worker that registers itself in the store.
