--- a/review/standin-2/case_upgrade.go
+++ b/review/standin-2/case_upgrade.go
@@ -18,15 +18,7 @@
 	for i := range 12 {
 		engines = append(engines, h.startEngine(fmt.Sprintf("i-lm%02d", i), zones[i%len(zones)], "v1"))
 	}
-	manifest := manifestOf(5, "lm", "key-kept")
-	manifest["routes"] = []any{map[string]any{
-		"name": "r-chat", "host": callersHost, "prefix": "/chat/", "kind": "streaming", "timeoutMs": 12000, "targetLatencyMs": 500, "priority": 0, "service": "lm", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "gapAimMs": 500,
-	}}
-	manifest["services"] = []any{map[string]any{
-		"name": "lm", "healthPath": "/health", "maxConnections": 370, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": 64, "kvCapacity": 550405, "kvTokenBytes": 18432, "linkMbps": 280000.0, "moves": true, "backups": true, "stride": 6, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 5.0, "models": []any{map[string]any{"name": "m"}}},
-	}}
-	h.store.put("op", "config", manifest)
+	h.store.put("op", "config", streamManifest(true))
 	h.startAll()
 
 	const playTime = 20 * time.Second
