config, peer: logs tell from whom a configuration came, and its digest

The logs only named the new revision, so that they could not tell whether a peer, the table or the merge was at fault.

The message of an update names the peer, the revision asked with, the delta's bounds and its number of items; each update logs a digest of the content.

--- a/spokeconfig/snapshot.go
+++ b/spokeconfig/snapshot.go
@@ -12,6 +12,7 @@
 // immutable and safe for concurrent use.
 type Snapshot struct {
 	revision           Revision
+	digest             string
 	declaration        Declaration
 	services           map[string]*Service
 	workspaceByKeyHash map[string]*Workspace
@@ -70,6 +71,10 @@
 // Revision returns the revision of the configuration.
 func (s *Snapshot) Revision() Revision { return s.revision }
 
+// Digest identifies the content, whatever its revision. Instances at the same revision that
+// log different digests don't hold the same configuration.
+func (s *Snapshot) Digest() string { return s.digest }
+
 // Declaration returns the declaration, with default values filled in.
 func (s *Snapshot) Declaration() Declaration { return s.declaration }
 
--- a/spokeconfig/store.go
+++ b/spokeconfig/store.go
@@ -1,6 +1,9 @@
 package spokeconfig
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -25,6 +28,9 @@
 // configuration.
 const maxVisited = 256
 
+// digestBytes is the length of a digest, which is hexadecimal in the end.
+const digestBytes = 6
+
 // Current returns the configuration in force, or nil if there is none yet.
 func (s *Store) Current() *Snapshot {
 	return s.current.Load()
@@ -80,7 +86,9 @@
 	s.items = items
 	s.revision = delta.To
 	s.visited = append(s.visited[max(0, len(s.visited)-maxVisited+1):], delta.To)
-	s.current.Store(newSnapshot(delta.To, declaration, marks))
+	snapshot := newSnapshot(delta.To, declaration, marks)
+	snapshot.digest = digestOf(sortedByKey(items))
+	s.current.Store(snapshot)
 	return true, nil
 }
 
@@ -129,6 +137,22 @@
 	return present
 }
 
+// digestOf returns a digest of the keys and values of ordered items, without removed ones.
+func digestOf(items []Item) string {
+	hash := sha256.New()
+	for _, item := range items {
+		if len(item.Value) == 0 {
+			continue
+		}
+		// A zero byte occurs neither in a key nor in JSON.
+		_, _ = io.WriteString(hash, item.Key)
+		_, _ = hash.Write([]byte{0})
+		_, _ = hash.Write(item.Value)
+		_, _ = hash.Write([]byte{0})
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
+}
+
 func sortedByKey(items map[string]Item) []Item {
 	sorted := make([]Item, 0, len(items))
 	for _, item := range items {
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -126,7 +126,7 @@
 	response, _ = response.bounded()
 	l.node.View.MergeDataCentres(response.DataCentres)
 	if response.Revision > l.node.Store.Revision() {
-		l.node.fetchConfig(ctx, rpc)
+		l.node.fetchConfig(ctx, rpc, peerLabel(l.target))
 	}
 	if response.Revision <= l.node.Store.Revision() {
 		l.node.handshakeDone.Store(true)
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -381,26 +381,28 @@
 	return call[AttemptResponse](ctx, rpc, methodAttemptState, request)
 }
 
-// fetchConfig fetches a newer configuration from a peer. If it changes the one in
-// force, heartbeats are triggered to report the new revision.
-func (n *Node) fetchConfig(ctx context.Context, rpc *jsonrpc2.Conn) {
+// fetchConfig fetches a newer configuration from a peer, whose label is for log messages. If
+// it changes the one in force, heartbeats are triggered to report the new revision.
+func (n *Node) fetchConfig(ctx context.Context, rpc *jsonrpc2.Conn, peer string) {
 	if !n.fetchingConfig.CompareAndSwap(false, true) {
 		return
 	}
 	defer n.fetchingConfig.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	delta, err := call[spokeconfig.Delta](ctx, rpc, methodConfigSince, ConfigRequest{SinceRevision: n.Store.Revision()})
+	before := n.Store.Revision()
+	delta, err := call[spokeconfig.Delta](ctx, rpc, methodConfigSince, ConfigRequest{SinceRevision: before})
 	if err != nil {
 		return
 	}
+	log := n.Log.With().Str("peer", peer).Int64("since", int64(before)).Int64("from", int64(delta.From)).Int64("revision", int64(delta.To)).Int("items", len(delta.Items)).Logger()
 	changed, err := n.Store.Merge(delta)
 	if err != nil {
-		n.Log.Warn().Err(err).Msg("Configuration from a peer was rejected.")
+		log.Warn().Err(err).Msg("Configuration from a peer was rejected.")
 		return
 	}
 	if changed {
-		n.Log.Info().Int64("revision", int64(delta.To)).Msg("Configuration updated from a peer.")
+		log.Info().Str("digest", n.Store.Current().Digest()).Msg("Configuration updated from a peer.")
 		n.TriggerHeartbeats()
 	}
 }
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -133,7 +133,8 @@
 		n.Registry.MarkForRemoval(name, spokebackend.Removal{Source: spokebackend.SourcePeer, Remaining: remaining, Generation: h.RemovedGenerations[name]})
 	}
 	if h.Revision > n.Store.Revision() {
-		go n.fetchConfig(ctx, rpc)
+		peer, _ := n.View.Lookup(s.peer)
+		go n.fetchConfig(ctx, rpc, peerLabel(peer))
 	}
 	return struct{}{}, nil
 }
--- a/spokewatch/poller.go
+++ b/spokewatch/poller.go
@@ -83,7 +83,7 @@
 		return
 	}
 	if revision := p.Repository.Store.Revision(); revision > before {
-		p.Log.Info().Int64("revision", int64(revision)).Msg("Newer configuration read.")
+		p.Log.Info().Int64("since", int64(before)).Int64("revision", int64(revision)).Str("digest", p.Repository.Store.Current().Digest()).Msg("Newer configuration read.")
 		p.ChangedFunc()
 	}
 }
