config: a delta applies only to the content that it is based on

Cause: Store.Merge compared the revisions of items, which are what one instance saw. One that skipped revision 6 sends its items with revision 5 as the whole of 7, and one at 6 kept its own.

Change: Merge accepts a whole configuration, which replaces all, or a delta from exactly the store's revision. A store stamps changes with the revision at which it saw them itself; only these are compared, with revisions that were in force there. A delta from another revision is refused, and the node asks again at once. Removed items are forgotten once no delta can be based on a revision before.

Why it works: by induction whoever is at a revision holds its content, as nothing else can lead to it.

--- a/spokeconfig/config_test.go
+++ b/spokeconfig/config_test.go
@@ -59,7 +59,7 @@
 			}
 			_, err := source.Merge(spokeconfig.Delta{From: next - 1, To: next, Items: []spokeconfig.Item{item}})
 			require.NoError(t, err)
-			itemCounts[next] = len(source.Items())
+			itemCounts[next] = len(source.Current().Items())
 			from := spokeconfig.Revision(rapid.IntRange(0, revision).Draw(t, "from"))
 			deltas = append(deltas, source.DeltaSince(from))
 		}
@@ -72,7 +72,7 @@
 				require.Equal(t, spokeconfig.KindGap, spokeerror.KindOf[spokeconfig.Kind](err))
 			}
 			require.GreaterOrEqual(t, store.Revision(), before)
-			require.Len(t, store.Items(), itemCounts[store.Revision()])
+			require.Len(t, store.Current().Items(), itemCounts[store.Revision()])
 		}
 	})
 }
--- a/spokeconfig/item.go
+++ b/spokeconfig/item.go
@@ -16,20 +16,20 @@
 type Item struct {
 	// Key is the kind and the name, such as "service/assistant".
 	Key string `json:"key"`
-	// Revision is the revision of its last change.
+	// Revision is the revision of its last change, as seen by whoever wrote or sent the item.
 	Revision Revision `json:"revision"`
 	// Value is the item's JSON, or empty if the item has been removed.
 	Value json.RawMessage `json:"value,omitempty"`
 }
 
-// Delta holds every item changed after From and up to To.
+// Delta leads from the content at From to that at To.
 type Delta struct {
 	// From is the revision that the delta is based on. Zero means that the
-	// delta holds the whole configuration.
+	// delta holds the whole configuration, and that other items don't exist.
 	From Revision `json:"from"`
 	// To is the revision that results from applying the delta.
 	To Revision `json:"to"`
-	// Items are the changed items.
+	// Items are the items that differ, or all of them.
 	Items []Item `json:"items"`
 }
 
--- a/spokeconfig/snapshot.go
+++ b/spokeconfig/snapshot.go
@@ -13,6 +13,7 @@
 type Snapshot struct {
 	revision           Revision
 	digest             string
+	items              []Item
 	declaration        Declaration
 	services           map[string]*Service
 	workspaceByKeyHash map[string]*Workspace
@@ -68,8 +69,21 @@
 	}
 }
 
-// Revision returns the revision of the configuration.
-func (s *Snapshot) Revision() Revision { return s.revision }
+// Revision returns the revision of the configuration, or zero if s is nil.
+func (s *Snapshot) Revision() Revision {
+	if s == nil {
+		return 0
+	}
+	return s.revision
+}
+
+// Items returns the items, ordered by key, or none if s is nil. The caller must not change them.
+func (s *Snapshot) Items() []Item {
+	if s == nil {
+		return nil
+	}
+	return s.items
+}
 
 // Digest identifies the content, whatever its revision. Instances at the same revision that
 // log different digests don't hold the same configuration.
--- a/spokeconfig/store.go
+++ b/spokeconfig/store.go
@@ -1,8 +1,10 @@
 package spokeconfig
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"slices"
 	"strings"
@@ -12,18 +14,29 @@
 	"mulberryspoke.example/mulberryspoke/spokeerror"
 )
 
-// Store holds the newest configuration that a process has received. The zero
-// value is empty. It is safe for concurrent use.
+// Store holds the newest configuration that a process has received. It is the only place that
+// puts a revision in force, and what it then holds is exactly what was written at that
+// revision. Only content whose base is known is accepted for this: a whole configuration, or the
+// changes since the revision that the store itself is at. The zero value is empty. It is
+// safe for concurrent use.
 type Store struct {
-	mutex    sync.Mutex
-	items    map[string]Item
-	revision Revision
-	// visited are the last revisions that were in force here. Which items were removed
-	// since another one may not be known.
+	mutex sync.Mutex
+	items map[string]storedItem
+	// visited are the last revisions that were in force here, the newest last.
 	visited []Revision
 	current atomic.Pointer[Snapshot]
 }
 
+// storedItem is an item that is or was in force.
+type storedItem struct {
+	// value is empty if the item has been removed.
+	value json.RawMessage
+	// changedAt is the revision at which this store saw the value change. Another store may
+	// have skipped that revision or have seen an earlier one, so that it is only compared
+	// with revisions that were in force here.
+	changedAt Revision
+}
+
 // maxVisited bounds the revisions from which a delta is made. Others get the whole
 // configuration.
 const maxVisited = 256
@@ -38,73 +51,81 @@
 
 // Revision returns the revision in force, or zero if there is none yet.
 func (s *Store) Revision() Revision {
-	if current := s.current.Load(); current != nil {
-		return current.revision
-	}
-	return 0
+	return s.Current().Revision()
 }
 
-// Merge applies a delta and reports whether it changed the revision. A delta
-// up to an older or the same revision changes nothing. Merge returns an error
-// of kind KindGap if the delta starts after the store's revision, and of kind
-// KindInvalid if an item is malformed; the store is then unchanged.
+// Merge applies a delta and reports whether it changed the revision. A delta up to an older or
+// the same revision changes nothing. Merge returns an error of kind KindGap if the delta is
+// based on another revision than the store's, and of kind KindInvalid if an item is malformed;
+// the store is then unchanged.
 func (s *Store) Merge(delta Delta) (bool, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.merge(delta)
-}
-
-func (s *Store) merge(delta Delta) (bool, error) {
-	if delta.To <= s.revision {
+	revision := s.Revision()
+	if delta.To <= revision {
 		return false, nil
 	}
-	if delta.From > s.revision {
-		return false, spokeerror.Newf("merge configuration", KindGap, "the delta starts at revision %d, but the store is at revision %d", delta.From, s.revision)
-	}
-	items := make(map[string]Item, len(s.items)+len(delta.Items))
-	for key, item := range s.items {
-		items[key] = item
-	}
-	isListed := make(map[string]bool, len(delta.Items))
-	for _, item := range delta.Items {
-		isListed[item.Key] = true
-		if item.Revision > items[item.Key].Revision {
-			items[item.Key] = item
+	values := make(map[string]json.RawMessage, len(s.items)+len(delta.Items))
+	switch delta.From {
+	case 0:
+	case revision:
+		for key, item := range s.items {
+			values[key] = item.value
 		}
+	default:
+		return false, spokeerror.Newf("merge configuration", KindGap, "the delta is based on revision %d, but the store is at revision %d", delta.From, revision)
 	}
-	if delta.From == 0 {
-		for key, item := range items {
-			if !isListed[key] && len(item.Value) > 0 {
-				items[key] = Item{Key: key, Revision: delta.To}
-			}
-		}
-	}
-	declaration, marks, err := declarationFromItems(sortedByKey(items))
-	if err != nil {
-		return false, err
+	for _, item := range delta.Items {
+		values[item.Key] = item.Value
 	}
-	s.items = items
-	s.revision = delta.To
-	s.visited = append(s.visited[max(0, len(s.visited)-maxVisited+1):], delta.To)
-	snapshot := newSnapshot(delta.To, declaration, marks)
-	snapshot.digest = digestOf(sortedByKey(items))
-	s.current.Store(snapshot)
-	return true, nil
+	return true, s.replace(delta.To, values)
 }
 
 // SetDeclaration puts a whole declaration in force at a revision and reports
 // whether that revision was newer than the store's. Its errors are those of
 // Merge.
 func (s *Store) SetDeclaration(revision Revision, declaration Declaration) (bool, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delta := Delta{From: s.revision, To: revision}
-	for _, change := range Diff(sortedByKey(s.items), declaration.Items()) {
-		item := change.Item()
-		item.Revision = revision
-		delta.Items = append(delta.Items, item)
+	return s.Merge(Delta{To: revision, Items: declaration.Items()})
+}
+
+// replace puts values by key in force at a newer revision. An empty value is that of a removed
+// item. The caller holds the mutex.
+func (s *Store) replace(to Revision, values map[string]json.RawMessage) error {
+	visited := append(slices.Clone(s.visited[max(0, len(s.visited)-maxVisited+1):]), to)
+	items := make(map[string]storedItem, len(values))
+	for key, value := range values {
+		if len(value) == 0 {
+			continue
+		}
+		item := storedItem{value: value, changedAt: to}
+		if old := s.items[key]; bytes.Equal(old.value, value) {
+			item.changedAt = old.changedAt
+		}
+		items[key] = item
+	}
+	for key, old := range s.items {
+		if _, isPresent := items[key]; isPresent {
+			continue
+		}
+		removed := storedItem{changedAt: to}
+		if len(old.value) == 0 {
+			removed = old
+		}
+		// No delta can be based on a revision before the removal any more.
+		if removed.changedAt > visited[0] {
+			items[key] = removed
+		}
 	}
-	return s.merge(delta)
+	present := presentItems(items)
+	declaration, marks, err := declarationFromItems(present)
+	if err != nil {
+		return err
+	}
+	snapshot := newSnapshot(to, declaration, marks)
+	snapshot.items, snapshot.digest = present, digestOf(present)
+	s.items, s.visited = items, visited
+	s.current.Store(snapshot)
+	return nil
 }
 
 // DeltaSince returns the delta from a revision to the store's. It is the whole
@@ -112,38 +133,37 @@
 func (s *Store) DeltaSince(from Revision) Delta {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	delta := Delta{To: s.Revision()}
 	if !slices.Contains(s.visited, from) {
-		from = 0
+		delta.Items = s.Current().Items()
+		return delta
 	}
-	delta := Delta{From: from, To: s.revision}
-	for _, item := range sortedByKey(s.items) {
-		if item.Revision > from {
-			delta.Items = append(delta.Items, item)
+	delta.From = from
+	for key, item := range s.items {
+		if item.changedAt > from {
+			delta.Items = append(delta.Items, Item{Key: key, Revision: item.changedAt, Value: item.value})
 		}
 	}
+	sortByKey(delta.Items)
 	return delta
 }
 
-// Items returns the items in force, ordered by key, without removed ones.
-func (s *Store) Items() []Item {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	present := make([]Item, 0, len(s.items))
-	for _, item := range sortedByKey(s.items) {
-		if len(item.Value) > 0 {
-			present = append(present, item)
+// presentItems returns the items that are in force, ordered by key.
+func presentItems(items map[string]storedItem) []Item {
+	present := make([]Item, 0, len(items))
+	for key, item := range items {
+		if len(item.value) > 0 {
+			present = append(present, Item{Key: key, Revision: item.changedAt, Value: item.value})
 		}
 	}
+	sortByKey(present)
 	return present
 }
 
-// digestOf returns a digest of the keys and values of ordered items, without removed ones.
+// digestOf returns a digest of the keys and values of ordered items.
 func digestOf(items []Item) string {
 	hash := sha256.New()
 	for _, item := range items {
-		if len(item.Value) == 0 {
-			continue
-		}
 		// A zero byte occurs neither in a key nor in JSON.
 		_, _ = io.WriteString(hash, item.Key)
 		_, _ = hash.Write([]byte{0})
@@ -153,11 +173,6 @@
 	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
 }
 
-func sortedByKey(items map[string]Item) []Item {
-	sorted := make([]Item, 0, len(items))
-	for _, item := range items {
-		sorted = append(sorted, item)
-	}
-	slices.SortFunc(sorted, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	return sorted
+func sortByKey(items []Item) {
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 }
--- a/spokeconfig/validate.go
+++ b/spokeconfig/validate.go
@@ -22,7 +22,7 @@
 	// KindInvalid means that a declaration, an item or a row is malformed or not
 	// consistent.
 	KindInvalid Kind = "invalid"
-	// KindGap means that a delta starts after the store's revision.
+	// KindGap means that a delta is based on another revision than the store's.
 	KindGap Kind = "gap"
 	// KindConflict means that another change was accepted first.
 	KindConflict Kind = "conflict"
--- a/spokeoperate/command.go
+++ b/spokeoperate/command.go
@@ -52,7 +52,7 @@
 	if p.BaseRevision < 0 {
 		base = c.Repository.Store.Revision()
 	}
-	changes := spokeconfig.Diff(c.Repository.Store.Items(), declaration.Items())
+	changes := spokeconfig.Diff(c.Repository.Store.Current().Items(), declaration.Items())
 	return c.commit(ctx, base, changes, p.CommandID, p.AllowPending)
 }
 
@@ -86,7 +86,7 @@
 
 // itemValue returns the value of an item as text, or "" if the item is absent.
 func (c *CommandService) itemValue(key string) string {
-	for _, item := range c.Repository.Store.Items() {
+	for _, item := range c.Repository.Store.Current().Items() {
 		if item.Key == key {
 			return string(item.Value)
 		}
--- a/spokeoperate/query.go
+++ b/spokeoperate/query.go
@@ -64,7 +64,7 @@
 		return nil, refuse("invalid", "invalid_declaration", outcomeNotRun, err)
 	}
 	result := &query.DiffResult{Revision: int64(q.Store.Revision())}
-	for _, change := range spokeconfig.Diff(q.Store.Items(), declaration.Items()) {
+	for _, change := range spokeconfig.Diff(q.Store.Current().Items(), declaration.Items()) {
 		result.Changes = append(result.Changes, &query.Change{Item: change.Item().Key, Change: string(change.Kind())})
 	}
 	return result, nil
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -39,6 +39,9 @@
 	linkUpdateInterval   = 250 * spokeclock.Millis(1)
 	suspectCheckInterval = 500 * spokeclock.Millis(1)
 	callTimeout          = spokeclock.Second
+	// maxConfigFetches bounds the requests for a configuration that is replaced again and
+	// again meanwhile. The next heartbeat of a peer starts new ones.
+	maxConfigFetches = 3
 	// defaultBaseInterval is the default of Node.BaseInterval.
 	defaultBaseInterval = 500 * spokeclock.Millis(1)
 	// maxBaseIntervalLinks is the number of links up to which heartbeats are sent
@@ -382,7 +385,9 @@
 }
 
 // fetchConfig fetches a newer configuration from a peer, whose label is for log messages. If
-// it changes the one in force, heartbeats are triggered to report the new revision.
+// it changes the one in force, heartbeats are triggered to report the new revision. It asks
+// again if the configuration was replaced meanwhile, as the response is then based on another
+// revision.
 func (n *Node) fetchConfig(ctx context.Context, rpc *jsonrpc2.Conn, peer string) {
 	if !n.fetchingConfig.CompareAndSwap(false, true) {
 		return
@@ -390,19 +395,30 @@
 	defer n.fetchingConfig.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	before := n.Store.Revision()
-	delta, err := call[spokeconfig.Delta](ctx, rpc, methodConfigSince, ConfigRequest{SinceRevision: before})
+	for range maxConfigFetches {
+		err := n.fetchConfigOnce(ctx, rpc, peer)
+		if spokeerror.KindOf[spokeconfig.Kind](err) != spokeconfig.KindGap {
+			return
+		}
+	}
+}
+
+// fetchConfigOnce returns the errors of spokeconfig.Store.Merge, and those of the call.
+func (n *Node) fetchConfigOnce(ctx context.Context, rpc *jsonrpc2.Conn, peer string) error {
+	since := n.Store.Revision()
+	delta, err := call[spokeconfig.Delta](ctx, rpc, methodConfigSince, ConfigRequest{SinceRevision: since})
 	if err != nil {
-		return
+		return err
 	}
-	log := n.Log.With().Str("peer", peer).Int64("since", int64(before)).Int64("from", int64(delta.From)).Int64("revision", int64(delta.To)).Int("items", len(delta.Items)).Logger()
+	log := n.Log.With().Str("peer", peer).Int64("since", int64(since)).Int64("from", int64(delta.From)).Int64("revision", int64(delta.To)).Int("items", len(delta.Items)).Logger()
 	changed, err := n.Store.Merge(delta)
 	if err != nil {
 		log.Warn().Err(err).Msg("Configuration from a peer was rejected.")
-		return
+		return err
 	}
 	if changed {
 		log.Info().Str("digest", n.Store.Current().Digest()).Msg("Configuration updated from a peer.")
 		n.TriggerHeartbeats()
 	}
+	return nil
 }
