config, operate: a change is committed only on the content it was computed from

An operator who names a base revision, at an instance that is still behind it, had a declaration accepted of which a part was not written: the changes were the difference from the instance's older content. The table then holds something else at the revision than the operator wrote.

A diff names the revision that it compared, which was read separately before.

TestCommitOfInstanceBehind: with the check taken out the commit is accepted (no error instead of unavailable); with it the next try writes all. The other refusals of Commit are as before.

--- a/spokeconfig/repository.go
+++ b/spokeconfig/repository.go
@@ -67,7 +67,8 @@
 }
 
 // load scans all items and accepts them if the head is the same before and after
-// the scan, so that pages of different revisions are never mixed.
+// the scan, so that pages of different revisions are never mixed. It relies on reads that
+// follow one another not to go back in time.
 func (r *Repository) load(ctx context.Context) error {
 	for range maxScans {
 		before, _, err := r.head(ctx)
@@ -85,30 +86,34 @@
 		if before.Revision != after.Revision {
 			continue
 		}
-		return r.mergeRows(rows, after.Revision)
+		items, err := decodeItems(rows)
+		if err != nil {
+			return err
+		}
+		_, err = r.Store.Merge(Delta{To: after.Revision, Items: items})
+		return err
 	}
 	return spokeerror.Newf("read configuration", KindUnavailable, "the configuration changed during each of %d scans", maxScans)
 }
 
-func (r *Repository) mergeRows(rows []spoketable.Row, to Revision) error {
-	delta := Delta{To: to}
+func decodeItems(rows []spoketable.Row) ([]Item, error) {
+	items := make([]Item, 0, len(rows))
 	for _, row := range rows {
 		item, err := spoketable.DecodeRow[Item](row)
 		if err != nil {
-			return spokeerror.New("read configuration", KindInvalid, err)
+			return nil, spokeerror.New("read configuration", KindInvalid, err)
 		}
-		delta.Items = append(delta.Items, item)
+		items = append(items, item)
 	}
-	_, err := r.Store.Merge(delta)
-	return err
+	return items, nil
 }
 
-// Commit writes changes as the revision after base, under the identity of a
-// command. A repeated command returns the revision that it got the first time.
+// Commit writes the changes of a proposal as the revision after base, under the identity of
+// a command. A repeated command returns the revision that it got the first time.
 // Commit returns an error of kind KindConflict if another change was accepted
-// first, KindUnavailable if nothing was accepted, and KindOutcomeUnknown if the
-// changes may or may not have been accepted.
-func (r *Repository) Commit(ctx context.Context, base Revision, changes []Change, command string) (Revision, error) {
+// first, KindUnavailable if nothing was accepted, also because the content at base has not
+// been read here yet, and KindOutcomeUnknown if the changes may or may not have been accepted.
+func (r *Repository) Commit(ctx context.Context, base Revision, proposal Proposal, command string) (Revision, error) {
 	if revision, found, err := r.acceptedRevision(ctx, command); err != nil || found {
 		return revision, err
 	}
@@ -119,28 +124,32 @@
 	if head.Revision != base {
 		return 0, spokeerror.Newf("apply configuration", KindConflict, "the change is based on revision %d, but revision %d is in force", base, head.Revision)
 	}
+	if proposal.base != base {
+		// Changes from one content don't lead to the same result from another one.
+		return 0, spokeerror.Newf("apply configuration", KindUnavailable, "the change is based on revision %d, but this instance is at revision %d", base, proposal.base)
+	}
 	next := head.Revision + 1
-	outcome, err := r.Table.Transact(ctx, commitTransaction(next, version, changes, command))
+	outcome, err := r.Table.Transact(ctx, commitTransaction(next, version, proposal.changes, command))
 	if err != nil {
 		revision, err := r.resolveOutcome(ctx, command, err)
 		if err != nil {
 			return 0, err
 		}
-		return revision, r.mergeAccepted(ctx, base, revision, changes)
+		return revision, r.mergeAccepted(ctx, proposal, revision)
 	}
 	if !outcome.Committed {
 		return 0, conflictError(base, outcome)
 	}
-	return next, r.mergeAccepted(ctx, base, next, changes)
+	return next, r.mergeAccepted(ctx, proposal, next)
 }
 
 // mergeAccepted merges accepted changes into the store. It reads them back only
-// if the store is behind base, since a read may return an older state.
-func (r *Repository) mergeAccepted(ctx context.Context, base, next Revision, changes []Change) error {
-	if r.Store.Revision() < base {
+// if the store is not at their base, since a read may return an older state.
+func (r *Repository) mergeAccepted(ctx context.Context, proposal Proposal, next Revision) error {
+	_, err := r.Store.Merge(Delta{From: proposal.base, To: next, Items: itemsAt(next, proposal.changes)})
+	if spokeerror.KindOf[Kind](err) == KindGap {
 		return r.Refresh(ctx)
 	}
-	_, err := r.Store.Merge(Delta{From: base, To: next, Items: itemsAt(next, changes)})
 	return err
 }
 
--- a/spokeoperate/command.go
+++ b/spokeoperate/command.go
@@ -48,12 +48,12 @@
 	if err := c.Repository.Refresh(ctx); err != nil {
 		return nil, refuseCommit(err)
 	}
+	proposal := spokeconfig.ProposeDeclaration(c.Repository.Store.Current(), &declaration)
 	base := spokeconfig.Revision(p.BaseRevision)
 	if p.BaseRevision < 0 {
-		base = c.Repository.Store.Revision()
+		base = proposal.Base()
 	}
-	changes := spokeconfig.Diff(c.Repository.Store.Current().Items(), declaration.Items())
-	return c.commit(ctx, base, changes, p.CommandID, p.AllowPending)
+	return c.commit(ctx, base, proposal, p.CommandID, p.AllowPending)
 }
 
 // Mark implements the command service of the API. Concurrent marks on different
@@ -66,10 +66,12 @@
 	if err := c.Repository.Refresh(ctx); err != nil {
 		return nil, refuseCommit(err)
 	}
-	item := spokeconfig.MarkItem(spokeconfig.Mark{Instance: p.Instance, Kind: spokeconfig.MarkKind(p.Mark)})
-	before := c.itemValue(item.Key)
+	mark := spokeconfig.Mark{Instance: p.Instance, Kind: spokeconfig.MarkKind(p.Mark)}
+	key := spokeconfig.MarkItem(mark).Key
+	before := c.itemValue(key)
 	for range maxMarkAttempts {
-		applied, err := c.commit(ctx, c.Repository.Store.Revision(), c.markChanges(item), p.CommandID, true)
+		proposal := spokeconfig.ProposeMark(c.Repository.Store.Current(), mark)
+		applied, err := c.commit(ctx, proposal.Base(), proposal, p.CommandID, true)
 		var refused *types.Refusal
 		if !errors.As(err, &refused) || refused.Detail.Type != string(spokeconfig.KindConflict) {
 			return applied, err
@@ -77,7 +79,7 @@
 		if err := c.Repository.Refresh(ctx); err != nil {
 			return nil, refuseCommit(err)
 		}
-		if c.itemValue(item.Key) != before {
+		if c.itemValue(key) != before {
 			return nil, refused
 		}
 	}
@@ -94,22 +96,18 @@
 	return ""
 }
 
-func (c *CommandService) markChanges(item spokeconfig.Item) []spokeconfig.Change {
-	return []spokeconfig.Change{spokeconfig.MarkChange(item)}
-}
-
-func (c *CommandService) commit(ctx context.Context, base spokeconfig.Revision, changes []spokeconfig.Change, id string, allowPending bool) (*command.Applied, error) {
+func (c *CommandService) commit(ctx context.Context, base spokeconfig.Revision, proposal spokeconfig.Proposal, id string, allowPending bool) (*command.Applied, error) {
 	if unreachable := c.unreachableDataCentres(); len(unreachable) > 0 && !allowPending {
 		return nil, refuse("unavailable", "data_centre_unreachable", outcomeNotRun,
 			errors.New("not reachable: "+strings.Join(unreachable, ", ")+"; set allow_pending to accept the change anyway"))
 	}
-	revision, err := c.Repository.Commit(ctx, base, changes, id)
+	revision, err := c.Repository.Commit(ctx, base, proposal, id)
 	if err != nil && revision == 0 {
 		return nil, refuseCommit(err)
 	}
 	c.ChangedFunc()
 	c.waitForRollout(ctx, revision)
-	return c.appliedResult(revision, changes), nil
+	return c.appliedResult(revision, proposal.Changes()), nil
 }
 
 // unreachableDataCentres returns the declared data centres of which this instance
--- a/spokeoperate/query.go
+++ b/spokeoperate/query.go
@@ -63,8 +63,9 @@
 	if err != nil {
 		return nil, refuse("invalid", "invalid_declaration", outcomeNotRun, err)
 	}
-	result := &query.DiffResult{Revision: int64(q.Store.Revision())}
-	for _, change := range spokeconfig.Diff(q.Store.Current().Items(), declaration.Items()) {
+	proposal := spokeconfig.ProposeDeclaration(q.Store.Current(), &declaration)
+	result := &query.DiffResult{Revision: int64(proposal.Base())}
+	for _, change := range proposal.Changes() {
 		result.Changes = append(result.Changes, &query.Change{Item: change.Item().Key, Change: string(change.Kind())})
 	}
 	return result, nil
