config: after a lost outcome the accepted configuration is read back

A command whose request is lost and that is repeated through another instance, on a later base, was merged at the first instance with the changes from its own base as the content of the revision that the repetition got. What another operator had written in between, such as a mark that drains a server, was missing there until a restart.

Change: an instance that has read back that a command was accepted merges nothing of its own; it reads the configuration from the table.

TestCommitAcceptedElsewhere fails with the merge in place of the read: the mark is none instead of drain.

--- a/spokeconfig/repository.go
+++ b/spokeconfig/repository.go
@@ -135,7 +135,9 @@
 		if err != nil {
 			return 0, err
 		}
-		return revision, r.mergeAccepted(ctx, proposal, revision)
+		// A repetition of the command elsewhere may have been accepted in place of this
+		// one, with another base.
+		return revision, r.Refresh(ctx)
 	}
 	if !outcome.Committed {
 		return 0, conflictError(base, outcome)
--- a/spokeconfig/repository_test.go
+++ b/spokeconfig/repository_test.go
@@ -50,3 +50,24 @@
 	require.NoError(t, r.declare(behind, 2, "x=1 y=2", "three"))
 	r.requireContent(behind, 3, "x=1 y=2")
 }
+
+// TestCommitAcceptedElsewhere guards against an instance that holds its own changes at the
+// revision at which a repetition of the command, with another base, was accepted.
+func TestCommitAcceptedElsewhere(t *testing.T) {
+	r := commandRun{T: t, memoryTable: newMemoryTable()}
+	first, other := r.newRepository(), r.newRepository()
+	require.NoError(t, r.declare(first, 0, "x=1 y=1", "one"))
+	r.isRequestLostFunc = func() bool {
+		r.isRequestLostFunc = nil
+		require.NoError(t, other.Refresh(t.Context()))
+		mark := spokeconfig.ProposeMark(other.Store.Current(), spokeconfig.Mark{Instance: "i", Kind: spokeconfig.MarkDrain})
+		_, err := other.Commit(t.Context(), 1, mark, "two")
+		require.NoError(t, err)
+		require.NoError(t, r.declare(other, 2, "x=2 y=1", "three"))
+		return true
+	}
+	require.NoError(t, r.declare(first, 1, "x=2 y=1", "three"))
+	require.Equal(t, spokeconfig.Revision(3), first.Store.Revision())
+	require.Equal(t, spokeconfig.MarkDrain, first.Store.Current().InstanceMark("i"))
+	r.requireContent(first, 3, "x=2 y=1")
+}
