peer, member: messages of an earlier connection of a peer have no effect

An instance that stood still or was cut off handles what is left on a peer's earlier connection beside what comes on the later one, in any order. A heartbeat of the ended run counted all it had ever counted anew; its goodbye removed the run that had just started, whose hello had been handled, so that it had no share until its link was opened anew.

Cause: only hellos were compared with the known run, and two connections of one run had no order.

Change: a hello numbers its connection; the view keeps run and number. Messages on another connection are ignored and it is closed. Check and change are one step under a lock.

--- a/spokemember/share_test.go
+++ b/spokemember/share_test.go
@@ -53,7 +53,7 @@
 	view := &spokemember.View{Self: spokemember.Identity{Name: "a", DataCentre: "a"}, Clock: clock.Clock(), MaxMeshPeers: c.MaxMeshPeers}
 	for name, peer := range c.Peers {
 		if !peer.ListedOnly {
-			require.True(t, view.RecordHello(spokemember.Identity{Name: name, DataCentre: name[:1]}))
+			require.True(t, view.RecordHello(spokemember.Identity{Name: name, DataCentre: name[:1]}, 0))
 		}
 	}
 	for ; clock.Clock().Now() < sharersAskedAt; clock.Advance(sharersHeartbeat) {
--- a/spokemember/view.go
+++ b/spokemember/view.go
@@ -1,6 +1,7 @@
 package spokemember
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -57,7 +58,9 @@
 
 // peer is the last known state of another entry instance.
 type peer struct {
-	identity      Identity
+	identity Identity
+	// link is the number of the last connection that the peer's run has opened.
+	link          int64
 	detector      spokesuspect.Detector
 	revision      spokeconfig.Revision
 	draining      bool
@@ -123,15 +126,16 @@
 }
 
 // RecordHello records a peer's identity, but keeps an address that is already
-// known. It records nothing and reports false for an older run than the known
-// one.
-func (v *View) RecordHello(identity Identity) bool {
+// known. Link is the number of the connection in the peer's run. RecordHello records nothing
+// and reports false for an older run than the known one, or an earlier connection of the run.
+func (v *View) RecordHello(identity Identity, link int64) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	p := v.ensurePeer(identity.Name)
-	if identity.Generation < p.identity.Generation {
+	if cmp.Or(cmp.Compare(identity.Generation, p.identity.Generation), cmp.Compare(link, p.link)) < 0 {
 		return false
 	}
+	p.link = link
 	address := p.identity.Address
 	p.identity = identity
 	if address != "" {
@@ -142,6 +146,15 @@
 	return true
 }
 
+// IsCurrentLink reports whether a peer has sent a hello for a connection, given by its run and
+// its number there, and none for a later one.
+func (v *View) IsCurrentLink(name string, generation, link int64) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	p, exists := v.peers[name]
+	return exists && p.helloReceived && p.identity.Generation == generation && p.link == link
+}
+
 // RecordHeartbeat records a peer's state. Interval is the time to its next
 // heartbeat; zero means unchanged.
 func (v *View) RecordHeartbeat(name string, revision spokeconfig.Revision, draining bool, interval spokeclock.Millis) {
--- a/spokemember/view_test.go
+++ b/spokemember/view_test.go
@@ -28,7 +28,7 @@
 		if i < 2 {
 			peer.Cores = 0.8
 		}
-		require.True(t, view.RecordHello(peer))
+		require.True(t, view.RecordHello(peer, 0))
 		view.RecordHeartbeat(peer.Name, 1, false, 1000)
 	}
 	large := []string{"0", "1"}
--- a/spokepeer/bounds.go
+++ b/spokepeer/bounds.go
@@ -29,6 +29,7 @@
 func (h Hello) bounded() (hello Hello, isPeer bool) {
 	h.DataCentres = boundedSummaries(h.DataCentres)
 	generation := h.Identity.Generation
+	h.Link = min(max(0, h.Link), maxGeneration)
 	return h, isName(h.Identity.Name) && generation >= 0 && generation <= maxGeneration
 }
 
--- a/spokepeer/link.go
+++ b/spokepeer/link.go
@@ -119,7 +119,9 @@
 func (l *link) handshake(ctx context.Context, rpc *jsonrpc2.Conn) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	response, err := call[Hello](ctx, rpc, methodHello, l.node.helloMessage())
+	hello := l.node.helloMessage()
+	hello.Link = l.node.openedLinks.Add(1)
+	response, err := call[Hello](ctx, rpc, methodHello, hello)
 	if err != nil {
 		return false
 	}
--- a/spokepeer/message.go
+++ b/spokepeer/message.go
@@ -22,6 +22,9 @@
 type Hello struct {
 	// Identity is the sender.
 	Identity spokemember.Identity `json:"identity"`
+	// Link numbers the connections that the sender's run has opened to any peer. It is zero in
+	// a response.
+	Link int64 `json:"link,omitempty"`
 	// Revision is the configuration in force at the sender.
 	Revision spokeconfig.Revision `json:"revision"`
 	// DataCentres are the summaries that the sender has.
--- a/spokepeer/node.go
+++ b/spokepeer/node.go
@@ -119,8 +119,12 @@
 	targetCount    atomic.Int64
 	startedAt      spokeclock.Millis
 	fetchingConfig atomic.Bool
-	mutex          sync.Mutex
-	links          map[string]*link
+	openedLinks    atomic.Int64
+	// receiveMutex is locked while a message changes what is known of a peer, so that none of
+	// an earlier connection takes effect after one of a later connection.
+	receiveMutex sync.Mutex
+	mutex        sync.Mutex
+	links        map[string]*link
 	// memberTriggers receives a value when the instances have changed.
 	memberTriggers chan struct{}
 	aggregates     aggregateStore
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -21,6 +21,8 @@
 	conn           net.Conn
 	peer           string
 	peerGeneration int64
+	// link is the number of the connection in the peer's run.
+	link int64
 	// interval is the time between two heartbeats of the peer; 0 until it is known.
 	interval spokeclock.Millis
 }
@@ -60,7 +62,7 @@
 	case methodHeartbeat:
 		return handleWithParams(request, func(h Heartbeat) (any, error) { return s.handleHeartbeat(ctx, rpc, h) })
 	case methodGoodbye:
-		return s.handleGoodbye()
+		return s.handleGoodbye(rpc)
 	case methodConfigSince:
 		return handleWithParams(request, s.handleConfigSince)
 	case methodAttemptState:
@@ -93,11 +95,14 @@
 	if !isPeer {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no identity of an instance"}
 	}
-	if !s.node.View.RecordHello(hello.Identity) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "an older run of the instance"}
+	s.node.receiveMutex.Lock()
+	defer s.node.receiveMutex.Unlock()
+	if !s.node.View.RecordHello(hello.Identity, hello.Link) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "a later run or connection of the instance is known"}
 	}
 	s.peer = hello.Identity.Name
 	s.peerGeneration = hello.Identity.Generation
+	s.link = hello.Link
 	s.recordHeard()
 	s.node.View.MergeDataCentres(hello.DataCentres)
 	return s.node.helloMessage(), nil
@@ -107,6 +112,18 @@
 	return Hello{Identity: n.View.Self, Revision: n.Store.Revision(), DataCentres: n.View.DataCentresAt(n.Store.Revision())}
 }
 
+// isCurrent reports whether the connection is the last that the peer has opened. It closes an
+// earlier one, as messages on it may have been delayed by a freeze or a cut and may be older
+// than those on the last one. The caller holds the node's receiveMutex.
+func (s *session) isCurrent(rpc *jsonrpc2.Conn) bool {
+	if s.node.View.IsCurrentLink(s.peer, s.peerGeneration, s.link) {
+		return true
+	}
+	s.node.Log.Info().Str("peer", s.peer).Int64("generation", s.peerGeneration).Int64("link", s.link).Msg("Message on an earlier connection of a peer ignored.")
+	_ = rpc.Close()
+	return false
+}
+
 // handleHeartbeat updates the state of the peer. It fetches the peer's
 // configuration in the background if it is newer.
 func (s *session) handleHeartbeat(ctx context.Context, rpc *jsonrpc2.Conn, h Heartbeat) (any, error) {
@@ -114,6 +131,11 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "no hello"}
 	}
 	n := s.node
+	n.receiveMutex.Lock()
+	defer n.receiveMutex.Unlock()
+	if !s.isCurrent(rpc) {
+		return struct{}{}, nil
+	}
 	h = h.bounded()
 	if h.Interval > 0 {
 		s.interval = h.Interval
@@ -139,8 +161,10 @@
 	return struct{}{}, nil
 }
 
-func (s *session) handleGoodbye() (any, error) {
-	if s.peer != "" {
+func (s *session) handleGoodbye(rpc *jsonrpc2.Conn) (any, error) {
+	s.node.receiveMutex.Lock()
+	defer s.node.receiveMutex.Unlock()
+	if s.peer != "" && s.isCurrent(rpc) {
 		s.node.View.RemovePeer(s.peer)
 		s.node.Registry.RemovePeer(s.peer)
 	}
