--- a/spokefleet/datacentre_test.go
+++ b/spokefleet/datacentre_test.go
@@ -49,3 +49,17 @@
 	require.Less(t, got["b"].BusyServers(), 0.5)
 	require.Nil(t, (&spokefleet.Demand{}).ByDataCentre("s"))
 }
+
+// TestDemandOfRuns guards against a run of a peer whose counters, which begin at zero, are
+// compared with those of the run before.
+func TestDemandOfRuns(t *testing.T) {
+	var clock spokeclock.Manual
+	clock.Advance(1)
+	demand := &spokefleet.Demand{Clock: clock.Clock()}
+	report := func(generation, work int64) { demand.MergeCounts("p", generation, map[string]int64{"work/s": work}) }
+	report(1, 100)
+	report(2, 50_000)
+	require.Zero(t, demand.BusyServers("s"), "the first count of a run is only the basis of the next increase")
+	report(2, 60_000)
+	require.Positive(t, demand.BusyServers("s"))
+}
--- a/spokemember/view_test.go
+++ b/spokemember/view_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mulberryspoke.example/mulberryspoke/spokeclock"
 	"mulberryspoke.example/mulberryspoke/spokecloud"
+	"mulberryspoke.example/mulberryspoke/spokeconfig"
 	"mulberryspoke.example/mulberryspoke/spokemember"
 )
 
@@ -40,3 +42,26 @@
 	view.RemovePeer("1")
 	require.NotContains(t, large, view.DutyOwners("a")[0])
 }
+
+// TestNewestSummaryCounts guards against a summary that replaces a newer one which arrived
+// before on another way.
+func TestNewestSummaryCounts(t *testing.T) {
+	var clock spokeclock.Manual
+	clock.Advance(60 * spokeclock.Second)
+	view := &spokemember.View{Self: spokemember.Identity{Name: "a", DataCentre: "one"}, Clock: clock.Clock()}
+	for _, step := range []struct {
+		summary spokemember.DataCentreSummary
+		inForce spokeconfig.Revision
+	}{
+		{summary: spokemember.DataCentreSummary{DataCentre: "two", Revision: 5, Age: 300}, inForce: 5},
+		{summary: spokemember.DataCentreSummary{DataCentre: "two", Revision: 4, Age: 900}, inForce: 5},
+		{summary: spokemember.DataCentreSummary{DataCentre: "two", Revision: 6, Age: 100}, inForce: 6},
+		{summary: spokemember.DataCentreSummary{DataCentre: "one", Revision: 9}, inForce: 6},
+	} {
+		view.MergeDataCentres([]spokemember.DataCentreSummary{step.summary})
+		summaries := view.DataCentresAt(7)
+		require.Len(t, summaries, 2)
+		require.Equal(t, spokeconfig.Revision(7), summaries[0].Revision)
+		require.Equal(t, step.inForce, summaries[1].Revision)
+	}
+}
--- a/spokepeer/aggregate_test.go
+++ b/spokepeer/aggregate_test.go
@@ -157,3 +157,29 @@
 	}
 	assert.Equal(t, members, a.node.View.ActiveInstanceCount(), "members at %s", self.Name)
 }
+
+// TestOvertakingAggregates guards against a sum that an older one replaces, which has come on
+// another way.
+func TestOvertakingAggregates(t *testing.T) {
+	instance := newAggregateInstance(t, "a", "a-0")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go instance.node.Run(ctx)
+	links := make(map[string]*rawLink)
+	for _, peer := range []string{"a-1", "a-2"} {
+		links[peer] = openRawLink(t, instance.node.View.Self.Address)
+		links[peer].send(fmt.Sprintf(`{"jsonrpc":"2.0","id":7,"method":"hello","params":{"identity":{"name":%q,"data_centre":"a","generation":1},"link":1}}`, peer))
+		_, err := links[peer].receive()
+		require.NoError(t, err)
+	}
+	for i, step := range []struct {
+		peer         string
+		count, total int64
+	}{{"a-1", 10, 10}, {"a-2", 7, 10}, {"a-2", 12, 12}, {"a-1", 11, 12}} {
+		links[step.peer].send(fmt.Sprintf(`{"jsonrpc":"2.0","method":"heartbeat","params":{"data_centre_counts":[{"data_centre":"b","origin":"b-0","generation":1,"counts":{"x":%d}}]}}`, step.count))
+		require.True(t, links[step.peer].isHandled())
+		instance.mutex.Lock()
+		require.Equal(t, step.total, instance.totals["b"], "step %d", i+1)
+		instance.mutex.Unlock()
+	}
+}
