--- a/spokeorigin/records_test.go
+++ b/spokeorigin/records_test.go
@@ -55,6 +55,8 @@
 	// OddBase is what another process has written in place of a base.
 	OddBase       string `yaml:"odd_base"`
 	StoredIsMixed bool   `yaml:"stored_is_mixed"`
+	// StoredChanges is the number of changes of the base up to the one that was written.
+	StoredChanges int64 `yaml:"stored_changes"`
 	// StoredAfterRead is a base that another process writes right after the next read.
 	StoredAfterRead string           `yaml:"stored_after_read"`
 	WantStoredBase  string           `yaml:"want_stored_base"`
@@ -149,7 +151,7 @@
 	rows := s.read(keys)
 	if version := s.storedAfterRead; version != "" {
 		s.storedAfterRead = ""
-		s.storeBase(version, 0, false)
+		s.storeBase(originStep{StoredBase: version})
 	}
 	return rows, nil
 }
@@ -196,7 +198,7 @@
 		s.start()
 	}
 	if step.StoredBase != "" {
-		s.storeBase(step.StoredBase, step.StoredEra, step.StoredIsMixed)
+		s.storeBase(step)
 	}
 	if step.OddBase != "" {
 		s.version++
@@ -206,12 +208,13 @@
 }
 
 // storeBase writes a base as another process does, by default in the present era.
-func (s *originSimulation) storeBase(version string, era spoketable.Era, isMixed bool) {
+func (s *originSimulation) storeBase(step originStep) {
+	era := step.StoredEra
 	if era == 0 {
 		era = s.era
 	}
 	s.version++
-	s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: fmt.Appendf(nil, `{"software_version":%q,"era":%d,"is_mixed":%t}`, version, era, isMixed), Version: s.version}
+	s.rows[baseKey] = spoketable.Row{Key: baseKey, Value: fmt.Appendf(nil, `{"software_version":%q,"era":%d,"is_mixed":%t,"changes":%d}`, step.StoredBase, era, step.StoredIsMixed, step.StoredChanges), Version: s.version}
 }
 
 // check begins or finds a stream.
--- a/spokerollout/rollouts_test.go
+++ b/spokerollout/rollouts_test.go
@@ -94,6 +94,33 @@
 	}
 }
 
+// TestCountsOfRuns guards against what an ended run of a peer has told and still counts.
+func TestCountsOfRuns(t *testing.T) {
+	s := &rolloutScript{T: t, instances: make(map[string]*Rollouts), rows: make(map[string]StatusRow)}
+	s.clock = s.time.Clock()
+	for _, name := range []string{"a", "b"} {
+		s.start(name)
+		s.apply(name, rolloutStep{Order: &rolloutOrder{To: "v2", Limit: 12000, Version: 5}})
+	}
+	s.apply("b", rolloutStep{Answers: []rolloutAnswers{{Version: "v1", Count: 10}, {Version: "v2", Count: 5}}})
+	told := func() (sum int64) {
+		for _, cells := range s.instances["a"].told.totals {
+			for _, count := range cells {
+				sum += count
+			}
+		}
+		return sum
+	}
+	counts := s.instances["b"].Counts()
+	s.instances["a"].SetPeerCounts("b", 1, counts)
+	before := told()
+	require.Positive(t, before)
+	s.instances["a"].SetPeerCounts("b", 1, counts)
+	require.Equal(t, before, told())
+	s.instances["a"].SetPeerCounts("b", 2, nil)
+	require.Zero(t, told())
+}
+
 type rolloutScript struct {
 	*testing.T
 	time       spokeclock.Manual
