config, peer: the last read of the change

A merge that fails reports no change. A commit on a base below the instance's own revision is a conflict, as a later one is in force.

--- a/spokeconfig/repository.go
+++ b/spokeconfig/repository.go
@@ -121,8 +121,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if head.Revision != base {
-		return 0, spokeerror.Newf("apply configuration", KindConflict, "the change is based on revision %d, but revision %d is in force", base, head.Revision)
+	if newest := max(head.Revision, proposal.base); newest != base {
+		return 0, spokeerror.Newf("apply configuration", KindConflict, "the change is based on revision %d, but revision %d is in force", base, newest)
 	}
 	if proposal.base != base {
 		// Changes from one content don't lead to the same result from another one.
--- a/spokeconfig/snapshot.go
+++ b/spokeconfig/snapshot.go
@@ -3,11 +3,15 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"io"
 	"strings"
 
 	"mulberryspoke.example/mulberryspoke/spokeclock"
 )
 
+// digestBytes is the length of a digest before it is encoded.
+const digestBytes = 6
+
 // Snapshot is the configuration at one revision, indexed for look-ups. It is
 // immutable and safe for concurrent use.
 type Snapshot struct {
@@ -21,9 +25,13 @@
 	routes             routeIndex
 }
 
-func newSnapshot(revision Revision, declaration Declaration, marks []Mark) *Snapshot {
+// newSnapshot returns the snapshot of items, which are ordered by key, and of the declaration
+// and the marks in them.
+func newSnapshot(revision Revision, items []Item, declaration Declaration, marks []Mark) *Snapshot {
 	s := &Snapshot{
 		revision:           revision,
+		digest:             digestOf(items),
+		items:              items,
 		declaration:        declaration,
 		services:           make(map[string]*Service),
 		workspaceByKeyHash: make(map[string]*Workspace),
@@ -48,6 +56,19 @@
 	return s
 }
 
+// digestOf returns a digest of the keys and values of ordered items.
+func digestOf(items []Item) string {
+	hash := sha256.New()
+	for _, item := range items {
+		// A zero byte occurs neither in a key nor in JSON.
+		_, _ = io.WriteString(hash, item.Key)
+		_, _ = hash.Write([]byte{0})
+		_, _ = hash.Write(item.Value)
+		_, _ = hash.Write([]byte{0})
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
+}
+
 func setServiceDefaults(s *Service) {
 	if s.Timeout == 0 {
 		s.Timeout = defaultTimeout
--- a/spokeconfig/store.go
+++ b/spokeconfig/store.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -41,9 +38,6 @@
 // configuration.
 const maxVisited = 256
 
-// digestBytes is the length of a digest, which is hexadecimal in the end.
-const digestBytes = 6
-
 // Current returns the configuration in force, or nil if there is none yet.
 func (s *Store) Current() *Snapshot {
 	return s.current.Load()
@@ -78,12 +72,15 @@
 	for _, item := range delta.Items {
 		values[item.Key] = item.Value
 	}
-	return true, s.replace(delta.To, values)
+	if err := s.replace(delta.To, values); err != nil {
+		return false, err
+	}
+	return true, nil
 }
 
-// SetDeclaration puts a whole declaration in force at a revision and reports
-// whether that revision was newer than the store's. Its errors are those of
-// Merge.
+// SetDeclaration puts a whole declaration in force at a revision, without any
+// marks, and reports whether that revision was newer than the store's. Its errors
+// are those of Merge.
 func (s *Store) SetDeclaration(revision Revision, declaration Declaration) (bool, error) {
 	return s.Merge(Delta{To: revision, Items: declaration.Items()})
 }
@@ -121,10 +118,8 @@
 	if err != nil {
 		return err
 	}
-	snapshot := newSnapshot(to, declaration, marks)
-	snapshot.items, snapshot.digest = present, digestOf(present)
 	s.items, s.visited = items, visited
-	s.current.Store(snapshot)
+	s.current.Store(newSnapshot(to, present, declaration, marks))
 	return nil
 }
 
@@ -160,19 +155,6 @@
 	return present
 }
 
-// digestOf returns a digest of the keys and values of ordered items.
-func digestOf(items []Item) string {
-	hash := sha256.New()
-	for _, item := range items {
-		// A zero byte occurs neither in a key nor in JSON.
-		_, _ = io.WriteString(hash, item.Key)
-		_, _ = hash.Write([]byte{0})
-		_, _ = hash.Write(item.Value)
-		_, _ = hash.Write([]byte{0})
-	}
-	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
-}
-
 func sortByKey(items []Item) {
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 }
--- a/spokepeer/session.go
+++ b/spokepeer/session.go
@@ -112,16 +112,18 @@
 	return Hello{Identity: n.View.Self, Revision: n.Store.Revision(), DataCentres: n.View.DataCentresAt(n.Store.Revision())}
 }
 
-// isCurrent reports whether the connection is the last that the peer has opened. It closes an
-// earlier one, as messages on it may have been delayed by a freeze or a cut and may be older
-// than those on the last one. The caller holds the node's receiveMutex.
-func (s *session) isCurrent(rpc *jsonrpc2.Conn) bool {
-	if s.node.View.IsCurrentLink(s.peer, s.peerGeneration, s.link) {
-		return true
-	}
+// isCurrent reports whether the connection is the last that the peer has opened. Messages on an
+// earlier one may have been delayed by a freeze or a cut and may be older than those on the
+// last one. The caller holds the node's receiveMutex.
+func (s *session) isCurrent() bool {
+	return s.node.View.IsCurrentLink(s.peer, s.peerGeneration, s.link)
+}
+
+// closeOutdated closes a connection that is not current. If the peer still uses it, it opens
+// another one.
+func (s *session) closeOutdated(rpc *jsonrpc2.Conn) {
 	s.node.Log.Info().Str("peer", s.peer).Int64("generation", s.peerGeneration).Int64("link", s.link).Msg("Message on an earlier connection of a peer ignored.")
 	_ = rpc.Close()
-	return false
 }
 
 // handleHeartbeat updates the state of the peer. It fetches the peer's
@@ -133,7 +135,8 @@
 	n := s.node
 	n.receiveMutex.Lock()
 	defer n.receiveMutex.Unlock()
-	if !s.isCurrent(rpc) {
+	if !s.isCurrent() {
+		s.closeOutdated(rpc)
 		return struct{}{}, nil
 	}
 	h = h.bounded()
@@ -164,9 +167,13 @@
 func (s *session) handleGoodbye(rpc *jsonrpc2.Conn) (any, error) {
 	s.node.receiveMutex.Lock()
 	defer s.node.receiveMutex.Unlock()
-	if s.peer != "" && s.isCurrent(rpc) {
+	switch {
+	case s.peer == "":
+	case s.isCurrent():
 		s.node.View.RemovePeer(s.peer)
 		s.node.Registry.RemovePeer(s.peer)
+	default:
+		s.closeOutdated(rpc)
 	}
 	return struct{}{}, nil
 }
