--- a/spokeconfig/item.go
+++ b/spokeconfig/item.go
@@ -190,8 +190,8 @@
 	return nil
 }
 
-// MarkChange returns the change that applies the item of a mark.
-func MarkChange(item Item) Change {
+// markChange returns the change that applies the item of a mark.
+func markChange(item Item) Change {
 	if len(item.Value) == 0 {
 		return Change{item: item, kind: ChangeRemoved}
 	}
--- a/spokeconfig/proposal.go
+++ b/spokeconfig/proposal.go
@@ -16,7 +16,7 @@
 // ProposeMark returns the change of a mark in a snapshot, which is nil before the first
 // configuration.
 func ProposeMark(current *Snapshot, mark Mark) Proposal {
-	return Proposal{base: current.Revision(), changes: []Change{MarkChange(MarkItem(mark))}}
+	return Proposal{base: current.Revision(), changes: []Change{markChange(MarkItem(mark))}}
 }
 
 // Base returns the revision that the changes are based on.
